--- /dev/null
+++ b/lib/Kernel/EventLoop.cpp
@@ -0,0 +1,98 @@
+#include "bergamotpaddle/Kernel/EventLoop.h"
+
+namespace bergamotpaddle {
+
+namespace {
+
+constexpr Duration kIdleWait = std::chrono::seconds(3600);
+
+} // namespace
+
+EventLoop::EventLoop()
+  : m_origin(std::chrono::steady_clock::now())
+{
+}
+
+void
+EventLoop::Post(Task aTask)
+{
+  {
+    std::lock_guard lock(m_mutex);
+    m_posted.push_back(std::move(aTask));
+  }
+  m_wake.notify_one();
+}
+
+void
+EventLoop::After(Duration aDelay, Task aTask)
+{
+  m_timers.emplace(Now() + aDelay, std::move(aTask));
+}
+
+Instant
+EventLoop::Now() const
+{
+  return Instant(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - m_origin));
+}
+
+TimerHooks
+EventLoop::Timers()
+{
+  return { [this] { return Now(); },
+           [this](Duration aDelay, Task aTask) { After(aDelay, std::move(aTask)); } };
+}
+
+void
+EventLoop::Run()
+{
+  std::deque<Task> tasks;
+  while (true) {
+    Instant next = RunDueTimers();
+    if (!WaitForTasks(next, tasks)) {
+      return;
+    }
+    for (Task& task : tasks) {
+      task();
+    }
+    tasks.clear();
+  }
+}
+
+Instant
+EventLoop::RunDueTimers()
+{
+  // A timer set by a timer waits for the next round, so that posted work
+  // cannot starve behind a chain of them.
+  Instant now = Now();
+  while (!m_timers.empty() && m_timers.begin()->first <= now) {
+    Task task = std::move(m_timers.begin()->second);
+    m_timers.erase(m_timers.begin());
+    task();
+  }
+  return m_timers.empty() ? Now() + kIdleWait : m_timers.begin()->first;
+}
+
+bool
+EventLoop::WaitForTasks(Instant aUntil, std::deque<Task>& aTasks)
+{
+  std::unique_lock lock(m_mutex);
+  m_wake.wait_until(
+    lock, m_origin + aUntil.time_since_epoch(), [this] { return m_stopping || !m_posted.empty(); });
+  if (m_stopping) {
+    return false;
+  }
+  aTasks.swap(m_posted);
+  return true;
+}
+
+void
+EventLoop::Stop()
+{
+  {
+    std::lock_guard lock(m_mutex);
+    m_stopping = true;
+  }
+  m_wake.notify_one();
+}
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/lib/Net/HttpClient.cpp
@@ -0,0 +1,255 @@
+#include "bergamotpaddle/Net/HttpClient.h"
+
+#include <atomic>
+#include <curl/curl.h>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace bergamotpaddle {
+
+namespace {
+
+constexpr int kPollMilliseconds = 1000;
+constexpr long kMaxConnectionsKept = 64;
+constexpr std::size_t kMaxBodyBytes = 64U << 20U;
+
+/// One call on the client's thread.
+struct Transfer
+{
+  HttpCallId m_id = 0;
+  HttpCall m_call;
+  HttpClient::DoneHook m_onDone;
+  HttpClient::ChunkHook m_onChunk;
+  HttpClient::Executor* m_executor = nullptr;
+  CURL* m_easy = nullptr;
+  curl_slist* m_headerList = nullptr;
+  HttpReply m_reply;
+
+  ~Transfer()
+  {
+    curl_slist_free_all(m_headerList);
+    if (m_easy != nullptr) {
+      curl_easy_cleanup(m_easy);
+    }
+  }
+};
+
+long
+StatusOf(CURL* aEasy)
+{
+  long status = 0;
+  curl_easy_getinfo(aEasy, CURLINFO_RESPONSE_CODE, &status);
+  return status;
+}
+
+std::size_t
+OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
+{
+  auto* transfer = static_cast<Transfer*>(aTransfer);
+  const std::size_t bytes = aSize * aCount;
+  if (transfer->m_onChunk && StatusOf(transfer->m_easy) == 200) {
+    std::string chunk(aData, bytes);
+    (*transfer->m_executor)([hook = transfer->m_onChunk, chunk = std::move(chunk)] { hook(chunk); });
+    return bytes;
+  }
+  if (transfer->m_reply.m_body.size() + bytes > kMaxBodyBytes) {
+    return 0;
+  }
+  transfer->m_reply.m_body.append(aData, bytes);
+  return bytes;
+}
+
+void
+SetOptions(Transfer& aTransfer)
+{
+  CURL* easy = aTransfer.m_easy;
+  const HttpCall& call = aTransfer.m_call;
+  curl_easy_setopt(easy, CURLOPT_URL, call.m_url.c_str());
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.m_method.c_str());
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(call.m_connectTimeout.count()));
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.m_totalTimeout.count()));
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
+  if (call.m_method != "GET") {
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.m_body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.m_body.c_str());
+  }
+  for (const auto& [name, value] : call.m_headers) {
+    const std::string line = name + ": " + value;
+    aTransfer.m_headerList = curl_slist_append(aTransfer.m_headerList, line.c_str());
+  }
+  // Without this libcurl waits a second for "100 Continue" before large bodies.
+  aTransfer.m_headerList = curl_slist_append(aTransfer.m_headerList, "Expect:");
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aTransfer.m_headerList);
+}
+
+} // namespace
+
+class HttpClient::Impl
+{
+public:
+  explicit Impl(Executor aExecutor)
+    : m_executor(std::move(aExecutor))
+  {
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    m_multi = curl_multi_init();
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, kMaxConnectionsKept);
+    m_thread = std::thread([this] { Run(); });
+  }
+
+  ~Impl()
+  {
+    m_stopping = true;
+    curl_multi_wakeup(m_multi);
+    m_thread.join();
+    for (auto& [easy, transfer] : m_transfers) {
+      curl_multi_remove_handle(m_multi, easy);
+    }
+    m_transfers.clear();
+    curl_multi_cleanup(m_multi);
+  }
+
+  HttpCallId Start(HttpCall aCall, DoneHook aOnDone, ChunkHook aOnChunk)
+  {
+    auto transfer = std::make_unique<Transfer>();
+    transfer->m_id = ++m_lastId;
+    transfer->m_call = std::move(aCall);
+    transfer->m_onDone = std::move(aOnDone);
+    transfer->m_onChunk = std::move(aOnChunk);
+    transfer->m_executor = &m_executor;
+    const HttpCallId id = transfer->m_id;
+    {
+      std::lock_guard lock(m_mutex);
+      m_starting.push_back(std::move(transfer));
+    }
+    curl_multi_wakeup(m_multi);
+    return id;
+  }
+
+  void Cancel(HttpCallId aId)
+  {
+    {
+      std::lock_guard lock(m_mutex);
+      m_cancelled.push_back(aId);
+    }
+    curl_multi_wakeup(m_multi);
+  }
+
+private:
+  void Run()
+  {
+    while (!m_stopping) {
+      TakeOrders();
+      int running = 0;
+      curl_multi_perform(m_multi, &running);
+      FinishTransfers();
+      curl_multi_poll(m_multi, nullptr, 0, kPollMilliseconds, nullptr);
+    }
+  }
+
+  void TakeOrders()
+  {
+    std::vector<std::unique_ptr<Transfer>> starting;
+    std::vector<HttpCallId> cancelled;
+    {
+      std::lock_guard lock(m_mutex);
+      starting.swap(m_starting);
+      cancelled.swap(m_cancelled);
+    }
+    for (auto& transfer : starting) {
+      Begin(std::move(transfer));
+    }
+    for (HttpCallId id : cancelled) {
+      Abandon(id);
+    }
+  }
+
+  void Begin(std::unique_ptr<Transfer> aTransfer)
+  {
+    aTransfer->m_easy = curl_easy_init();
+    SetOptions(*aTransfer);
+    CURL* easy = aTransfer->m_easy;
+    m_byId[aTransfer->m_id] = easy;
+    m_transfers[easy] = std::move(aTransfer);
+    curl_multi_add_handle(m_multi, easy);
+  }
+
+  void Abandon(HttpCallId aId)
+  {
+    auto found = m_byId.find(aId);
+    if (found == m_byId.end()) {
+      return;
+    }
+    Transfer& transfer = *m_transfers.at(found->second);
+    transfer.m_reply.m_error = "cancelled";
+    Finish(found->second);
+  }
+
+  void FinishTransfers()
+  {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(m_multi, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      CURL* easy = message->easy_handle;
+      const CURLcode code = message->data.result;
+      Transfer& transfer = *m_transfers.at(easy);
+      if (code == CURLE_OK) {
+        transfer.m_reply.m_status = static_cast<int>(StatusOf(easy));
+      } else {
+        transfer.m_reply.m_error = curl_easy_strerror(code);
+        transfer.m_reply.m_neverSent = code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
+      }
+      Finish(easy);
+    }
+  }
+
+  void Finish(CURL* aEasy)
+  {
+    auto found = m_transfers.find(aEasy);
+    curl_multi_remove_handle(m_multi, aEasy);
+    std::unique_ptr<Transfer> transfer = std::move(found->second);
+    m_transfers.erase(found);
+    m_byId.erase(transfer->m_id);
+    m_executor([hook = std::move(transfer->m_onDone), reply = std::move(transfer->m_reply)] { hook(reply); });
+  }
+
+  Executor m_executor;
+  CURLM* m_multi = nullptr;
+  std::thread m_thread;
+  std::atomic<bool> m_stopping = false;
+  std::atomic<HttpCallId> m_lastId = 0;
+  std::mutex m_mutex;
+  std::vector<std::unique_ptr<Transfer>> m_starting;
+  std::vector<HttpCallId> m_cancelled;
+  // Touched by the client's thread alone.
+  std::map<CURL*, std::unique_ptr<Transfer>> m_transfers;
+  std::map<HttpCallId, CURL*> m_byId;
+};
+
+HttpClient::HttpClient(Executor aExecutor)
+  : m_impl(std::make_unique<Impl>(std::move(aExecutor)))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpCallId
+HttpClient::Start(HttpCall aCall, DoneHook aOnDone, ChunkHook aOnChunk)
+{
+  return m_impl->Start(std::move(aCall), std::move(aOnDone), std::move(aOnChunk));
+}
+
+void
+HttpClient::Cancel(HttpCallId aId)
+{
+  m_impl->Cancel(aId);
+}
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/unittests/Net/HttpServerTest.cpp
@@ -0,0 +1,100 @@
+/// \file
+/// The HTTP shells against each other over loopback.
+#include "bergamotpaddle/Net/HttpClient.h"
+#include "bergamotpaddle/Net/HttpServer.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <future>
+#include <random>
+#include <thread>
+
+using namespace bergamotpaddle;
+
+namespace {
+
+constexpr int kPieces = 40;
+
+HttpReply
+CallAndWait(HttpClient& aClient, HttpCall aCall)
+{
+  std::promise<HttpReply> promise;
+  aClient.Start(std::move(aCall), [&](HttpReply aReply) { promise.set_value(std::move(aReply)); });
+  return promise.get_future().get();
+}
+
+void
+StreamFromAnotherThread(HttpResponderPtr aResponder)
+{
+  std::thread([responder = std::move(aResponder)] {
+    responder->Start(200, "text/event-stream", {});
+    for (int i = 0; i < kPieces; ++i) {
+      responder->Write("data: piece\n\n");
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    responder->End();
+  }).detach();
+}
+
+} // namespace
+
+TEST_CASE("a server answers whole and streamed requests", "[net]")
+{
+  HttpServerOptions options;
+  options.m_maxRequestBytes = 64 * 1024;
+  HttpServer server(options, [](HttpRequest aRequest, HttpResponderPtr aResponder) {
+    if (aRequest.m_path == "/stream") {
+      StreamFromAnotherThread(std::move(aResponder));
+      return;
+    }
+    aResponder->SendJson(200, aRequest.m_method + aRequest.Query("q") + aRequest.Header("x-name") + aRequest.m_body);
+  });
+  REQUIRE(server.Start().ok());
+  const std::string base = "http://127.0.0.1:" + std::to_string(server.Port());
+  HttpClient client([](std::function<void()> aTask) { aTask(); });
+
+  SECTION("a body, a header and a query parameter come through")
+  {
+    HttpCall call;
+    call.m_method = "POST";
+    call.m_url = base + "/echo?q=1";
+    call.m_headers = { { "X-Name", "n" } };
+    call.m_body = "body";
+    CHECK(CallAndWait(client, call).m_body == "POST1nbody");
+  }
+
+  SECTION("a body over the bound is refused and the server lives on")
+  {
+    HttpCall call;
+    call.m_method = "POST";
+    call.m_url = base + "/echo";
+    call.m_body = std::string(200 * 1024, 'x');
+    CHECK(CallAndWait(client, call).m_status != 200);
+    call.m_body = "small";
+    CHECK(CallAndWait(client, call).m_status == 200);
+  }
+
+  SECTION("hundreds of callers leave in mid-stream and a clean request follows")
+  {
+    std::mt19937 random(7);
+    std::atomic<int> ended = 0;
+    constexpr int kRounds = 10;
+    constexpr int kCallers = 40;
+    for (int round = 0; round < kRounds; ++round) {
+      for (int i = 0; i < kCallers; ++i) {
+        HttpCall call;
+        call.m_url = base + "/stream";
+        call.m_totalTimeout = std::chrono::milliseconds(1 + random() % 50);
+        client.Start(call, [&](const HttpReply&) { ++ended; });
+      }
+      while (ended < (round + 1) * kCallers) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      }
+    }
+    HttpCall call;
+    call.m_url = base + "/stream";
+    HttpReply reply = CallAndWait(client, call);
+    CHECK(reply.m_status == 200);
+    CHECK(reply.m_body.size() == kPieces * std::string("data: piece\n\n").size());
+  }
+}
