--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,7 @@
 
 clean:
 	rm -rf $(BUILD)
+
+.PHONY: demo
+demo: build
+	BERGAMOTPADDLE_BUILD=$(abspath $(BUILD)) utils/demo
--- a/include/bergamotpaddle/Net/HttpClient.h
+++ b/include/bergamotpaddle/Net/HttpClient.h
@@ -22,6 +22,9 @@
   std::string m_body;
   std::chrono::milliseconds m_connectTimeout{ 1'000 };
   std::chrono::milliseconds m_totalTimeout{ 10'000 }; ///< 0: no bound.
+  /// Use a connection of its own. On a kept one libcurl sends a call again by
+  /// itself if the other end had closed it: a second run of what must run once.
+  bool m_ownConnection = false;
 };
 
 /// How a call ended.
--- a/include/bergamotpaddle/Wire/Messages.h
+++ b/include/bergamotpaddle/Wire/Messages.h
@@ -86,8 +86,9 @@
   AttemptId m_attempt = 0;
   ClaimVerdict m_verdict = ClaimVerdict::kGranted;
   UpstreamId m_place;
+  std::uint64_t m_generation = 0; ///< Rises each time the key is moved.
   auto operator<=>(const ClaimReply&) const = default;
-  MSGPACK_DEFINE(m_attempt, m_verdict, m_place)
+  MSGPACK_DEFINE(m_attempt, m_verdict, m_place, m_generation)
 };
 
 /// Router to agent: run this. Answered by Accepted or Refused.
@@ -98,6 +99,7 @@
   AccountId m_account;
   RequestKey m_key;
   std::string m_fingerprint;
+  std::uint64_t m_generation = 0; ///< Of the placement; older ones may be revoked.
   WorkKind m_kind = WorkKind::kChat;
   std::string m_target;          ///< Model or service.
   std::string m_method;          ///< Of a service call.
@@ -118,6 +120,7 @@
                  m_account,
                  m_key,
                  m_fingerprint,
+                 m_generation,
                  m_kind,
                  m_target,
                  m_method,
@@ -135,15 +138,17 @@
 };
 
 /// Router to agent: send me this key's answer from \p m_offset on. If the agent
-/// does not know the key it revokes it: no earlier dispatch may start it.
+/// does not know the key it revokes it: no dispatch of this generation or an
+/// earlier one may start it any more.
 struct Attach
 {
   AttemptId m_attempt = 0;
   AccountId m_account;
   RequestKey m_key;
+  std::uint64_t m_generation = 0;
   std::uint64_t m_offset = 0;
   auto operator<=>(const Attach&) const = default;
-  MSGPACK_DEFINE(m_attempt, m_account, m_key, m_offset)
+  MSGPACK_DEFINE(m_attempt, m_account, m_key, m_generation, m_offset)
 };
 
 /// Router to agent: nobody waits for this attempt any more.
@@ -154,8 +159,8 @@
   MSGPACK_DEFINE(m_attempt)
 };
 
-/// Agent to router: the attempt will run, or joined a run that is charged
-/// elsewhere.
+/// Agent to router: the attempt runs or has run here; m_joined if it reads a
+/// run that is charged to another attempt.
 struct Accepted
 {
   AttemptId m_attempt = 0;
@@ -177,10 +182,11 @@
 struct AnswerData
 {
   AttemptId m_attempt = 0;
-  std::uint64_t m_offset = 0;
+  std::uint64_t m_offset = 0; ///< Of m_bytes in the whole answer.
   std::string m_bytes;
+  std::uint64_t m_tokens = 0; ///< Of the whole answer up to the end of m_bytes.
   auto operator<=>(const AnswerData&) const = default;
-  MSGPACK_DEFINE(m_attempt, m_offset, m_bytes)
+  MSGPACK_DEFINE(m_attempt, m_offset, m_bytes, m_tokens)
 };
 
 /// Agent to router: the answer is whole, or failed for good.
--- /dev/null
+++ b/lib/Agent/AgentCore.cpp
@@ -0,0 +1,525 @@
+#include "bergamotpaddle/Agent/AgentCore.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace bergamotpaddle {
+
+namespace {
+
+std::uint64_t
+TokensOf(const WorkRecord& aRecord)
+{
+  return aRecord.m_dispatch.m_resumeTokens + aRecord.m_generated;
+}
+
+} // namespace
+
+AgentCore::AgentCore(AgentOptions aOptions, TimerHooks aTimers, AgentHooks aHooks, Journal& aJournal)
+  : m_options(std::move(aOptions))
+  , m_timers(std::move(aTimers))
+  , m_hooks(std::move(aHooks))
+  , m_journal(&aJournal)
+  , m_admission(m_options.m_admission)
+  , m_claims(m_options.m_answerRetention, m_options.m_maxClaims)
+  , m_charges(m_options.m_agent)
+  , m_work(m_options.m_answerRetention, m_options.m_answerBytes)
+  , m_startedAt(m_timers.m_now())
+{
+  Sweep();
+}
+
+void
+AgentCore::SetAdmission(AdmissionOptions aOptions)
+{
+  m_admission.SetOptions(aOptions);
+  StartReady();
+}
+
+bool
+AgentCore::IsIdle() const
+{
+  const bool isOwed = std::any_of(m_holders.begin(), m_holders.end(), [this](const auto& aItem) {
+    return m_charges.UnsettledCount(aItem.second) > 0;
+  });
+  return m_work.OpenCount() == 0 && m_journal->PendingOutcomes() == 0 && !isOwed;
+}
+
+Heartbeat
+AgentCore::MakeHeartbeat(std::uint64_t aConfigVersion) const
+{
+  Heartbeat heartbeat;
+  heartbeat.m_configVersion = aConfigVersion;
+  heartbeat.m_draining = IsDraining();
+  heartbeat.m_upstreamHealthy = m_upstreamHealthy;
+  heartbeat.m_running = static_cast<std::uint32_t>(m_admission.Running());
+  heartbeat.m_waiting = static_cast<std::uint32_t>(m_admission.Waiting());
+  heartbeat.m_ageMilliseconds = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.m_now() - m_startedAt).count());
+  return heartbeat;
+}
+
+void
+AgentCore::Note(const std::string& aName, const Dispatch& aDispatch, const std::string& aDetail) const
+{
+  m_hooks.m_event(
+    { aName, aDispatch.m_key.Str(), aDispatch.m_account.Str(), m_options.m_upstream.Str(), aDetail });
+}
+
+void
+AgentCore::OnMessage(PeerId aPeer, const Message& aMessage)
+{
+  std::visit([&](const auto& aOne) { On(aPeer, aOne); }, aMessage);
+}
+
+void
+AgentCore::OnPeerClosed(PeerId aPeer)
+{
+  m_holders.erase(aPeer);
+  // The work goes on: the router, or the caller's retry through another one,
+  // may come back for the answer.
+  for (RunId run : m_work.ReadBy(aPeer)) {
+    auto& readers = m_work.Find(run)->m_readers;
+    std::erase_if(readers, [&](const Reader& aReader) { return aReader.m_peer == aPeer; });
+  }
+}
+
+void
+AgentCore::On(PeerId aPeer, const Introduce& aMessage)
+{
+  if (aMessage.m_role != ProcessRole::kRouter) {
+    return;
+  }
+  m_holders[aPeer] = aMessage.m_holder;
+  for (const Charge& charge : m_charges.Unsettled(aMessage.m_holder)) {
+    m_hooks.m_send(aPeer, charge);
+  }
+}
+
+void
+AgentCore::On(PeerId aPeer, const ClaimRequest& aMessage)
+{
+  m_hooks.m_send(aPeer, m_claims.Answer(aMessage, m_timers.m_now()));
+}
+
+std::optional<ResultCode>
+AgentCore::ReasonToRefuse(const Dispatch& aDispatch) const
+{
+  if (IsDraining()) {
+    return ResultCode::kDraining;
+  }
+  if (!m_upstreamHealthy) {
+    return ResultCode::kNoUpstream;
+  }
+  if (m_charges.IsSealed(aDispatch.m_holder)) {
+    return ResultCode::kHolderSealed;
+  }
+  if (m_charges.UnsettledCount(aDispatch.m_holder) >= m_options.m_maxUnsettled) {
+    return ResultCode::kOverloaded;
+  }
+  return std::nullopt;
+}
+
+void
+AgentCore::Refuse(PeerId aPeer, const Dispatch& aDispatch, ResultCode aCode)
+{
+  Note("refused", aDispatch, std::string(Describe(aCode).m_name));
+  m_hooks.m_send(aPeer, Refused{ aDispatch.m_attempt, aCode });
+}
+
+void
+AgentCore::On(PeerId aPeer, const Dispatch& aMessage)
+{
+  WorkRecord* known = m_work.Find(aMessage.m_account, aMessage.m_key);
+  if (known != nullptr && known->m_state == WorkState::kRevoked &&
+      known->m_dispatch.m_generation < aMessage.m_generation) {
+    // Placed here anew, after the revocation.
+    m_work.Remove(known->m_run);
+    known = nullptr;
+  }
+  if (known != nullptr) {
+    Join(aPeer, aMessage, *known);
+    return;
+  }
+  if (const std::optional<ResultCode> reason = ReasonToRefuse(aMessage)) {
+    Refuse(aPeer, aMessage, *reason);
+    return;
+  }
+  if (aMessage.m_repeatable) {
+    Enqueue(aPeer, m_work.Add(aMessage, WorkState::kWaiting, m_timers.m_now()));
+    return;
+  }
+  JournalStart(aPeer, m_work.Add(aMessage, WorkState::kJournaling, m_timers.m_now()));
+}
+
+void
+AgentCore::Join(PeerId aPeer, const Dispatch& aDispatch, WorkRecord& aRecord)
+{
+  if (aRecord.m_state == WorkState::kRevoked) {
+    Refuse(aPeer, aDispatch, ResultCode::kRevoked);
+    return;
+  }
+  if (aRecord.m_dispatch.m_fingerprint != aDispatch.m_fingerprint) {
+    Refuse(aPeer, aDispatch, ResultCode::kKeyReused);
+    return;
+  }
+  // The caller holds the beginning of another run's answer: this one cannot
+  // continue it.
+  if (!aDispatch.m_resumeText.empty()) {
+    Refuse(aPeer, aDispatch, ResultCode::kRevoked);
+    return;
+  }
+  Note("joined", aDispatch);
+  m_hooks.m_send(aPeer, Accepted{ aDispatch.m_attempt, true });
+  AddReader(aRecord, { aPeer, aDispatch.m_attempt }, 0);
+}
+
+void
+AgentCore::Enqueue(PeerId aPeer, WorkRecord& aRecord)
+{
+  const Dispatch& dispatch = aRecord.m_dispatch;
+  AdmissionRequest request;
+  request.m_run = aRecord.m_run;
+  request.m_account = dispatch.m_account;
+  request.m_weight = dispatch.m_weight;
+  request.m_cost = dispatch.m_kind == WorkKind::kChat ? dispatch.m_maxOutput : 1;
+  if (!m_admission.Offer(request)) {
+    Refuse(aPeer, dispatch, ResultCode::kOverloaded);
+    m_work.Remove(aRecord.m_run);
+    return;
+  }
+  aRecord.m_state = WorkState::kWaiting;
+  // Offsets are those of the whole answer, for whoever joins later as well.
+  aRecord.m_answer = dispatch.m_resumeText;
+  m_waitingRuns.insert(aRecord.m_run);
+  Note("accepted", dispatch);
+  m_hooks.m_send(aPeer, Accepted{ dispatch.m_attempt, false });
+  AddReader(aRecord, { aPeer, dispatch.m_attempt }, aRecord.m_answer.size());
+  StartReady();
+}
+
+void
+AgentCore::JournalStart(PeerId aPeer, WorkRecord& aRecord)
+{
+  const Dispatch& dispatch = aRecord.m_dispatch;
+  const Reader reader{ aPeer, dispatch.m_attempt };
+  m_hooks.m_send(aPeer, Accepted{ dispatch.m_attempt, false });
+  aRecord.m_readers.push_back(reader);
+  m_journal->Start(dispatch.m_target,
+                   dispatch.m_account,
+                   dispatch.m_key,
+                   dispatch.m_fingerprint,
+                   [this, run = aRecord.m_run](JournalVerdict aVerdict, const JournalEntry& aEntry) {
+                     Journaled(run, aVerdict, aEntry);
+                   });
+}
+
+void
+AgentCore::Journaled(RunId aRun, JournalVerdict aVerdict, const JournalEntry& aEntry)
+{
+  WorkRecord* record = m_work.Find(aRun);
+  if (record == nullptr) {
+    return;
+  }
+  switch (aVerdict) {
+    case JournalVerdict::kStart:
+      Note("journaled", record->m_dispatch);
+      // The slots of a plain service are taken in the order of the journal.
+      record->m_state = WorkState::kRunning;
+      m_hooks.m_start(aRun, record->m_dispatch);
+      return;
+    case JournalVerdict::kDone:
+      AnswerFromJournal(aRun, aEntry);
+      return;
+    case JournalVerdict::kUnknown: {
+      UpstreamOutcome outcome;
+      outcome.m_code = ResultCode::kOutcomeUnknown;
+      outcome.m_ran = Ran::kUnknown;
+      EndRun(*record, outcome);
+      return;
+    }
+    case JournalVerdict::kMismatch:
+      GiveBack(aRun, ResultCode::kKeyReused);
+      return;
+    case JournalVerdict::kFull:
+      GiveBack(aRun, ResultCode::kJournalFull);
+      return;
+    case JournalVerdict::kUnavailable:
+      GiveBack(aRun, ResultCode::kJournalUnavailable);
+      return;
+  }
+}
+
+void
+AgentCore::AnswerFromJournal(RunId aRun, const JournalEntry& aEntry)
+{
+  WorkRecord& record = *m_work.Find(aRun);
+  Note("answered_from_journal", record.m_dispatch);
+  record.m_answer = aEntry.m_body;
+  record.m_end.m_httpStatus = aEntry.m_httpStatus;
+  record.m_end.m_contentType = aEntry.m_contentType;
+  record.m_end.m_length = record.m_answer.size();
+  // The run was charged when it happened.
+  BookCharge(record, 0);
+  m_work.Finish(record, m_timers.m_now());
+  std::vector<Reader> readers;
+  readers.swap(record.m_readers);
+  for (const Reader& reader : readers) {
+    AddReader(record, reader, 0);
+  }
+}
+
+void
+AgentCore::GiveBack(RunId aRun, ResultCode aCode)
+{
+  WorkRecord& record = *m_work.Find(aRun);
+  Note("given_back", record.m_dispatch, std::string(Describe(aCode).m_name));
+  BookCharge(record, 0);
+  record.m_end.m_code = aCode;
+  record.m_end.m_ran = Ran::kNo;
+  for (const Reader& reader : record.m_readers) {
+    SendEnd(record, reader);
+  }
+  m_waitingRuns.erase(aRun);
+  m_admission.Remove(aRun);
+  m_work.Remove(aRun);
+}
+
+void
+AgentCore::StartReady()
+{
+  while (const std::optional<RunId> run = m_admission.TakeNext()) {
+    WorkRecord& record = *m_work.Find(*run);
+    m_waitingRuns.erase(*run);
+    record.m_state = WorkState::kRunning;
+    record.m_changedAt = m_timers.m_now();
+    Note("started", record.m_dispatch);
+    m_hooks.m_start(*run, record.m_dispatch);
+  }
+}
+
+void
+AgentCore::On(PeerId aPeer, const Attach& aMessage)
+{
+  WorkRecord* record = m_work.Find(aMessage.m_account, aMessage.m_key);
+  if (record == nullptr) {
+    Dispatch revoked;
+    revoked.m_account = aMessage.m_account;
+    revoked.m_key = aMessage.m_key;
+    revoked.m_generation = aMessage.m_generation;
+    m_work.Add(revoked, WorkState::kRevoked, m_timers.m_now());
+    Note("revoked", revoked);
+    m_hooks.m_send(aPeer, Refused{ aMessage.m_attempt, ResultCode::kRevoked });
+    return;
+  }
+  if (record->m_state == WorkState::kRevoked) {
+    Dispatch& revoked = record->m_dispatch;
+    revoked.m_generation = std::max(revoked.m_generation, aMessage.m_generation);
+    m_hooks.m_send(aPeer, Refused{ aMessage.m_attempt, ResultCode::kRevoked });
+    return;
+  }
+  Note("attached", record->m_dispatch, absl::StrCat("offset ", aMessage.m_offset));
+  auto holder = m_holders.find(aPeer);
+  const bool isOwn = record->m_dispatch.m_attempt == aMessage.m_attempt && holder != m_holders.end() &&
+                     holder->second == record->m_dispatch.m_holder;
+  m_hooks.m_send(aPeer, Accepted{ aMessage.m_attempt, !isOwn });
+  AddReader(*record, { aPeer, aMessage.m_attempt }, aMessage.m_offset);
+}
+
+void
+AgentCore::AddReader(WorkRecord& aRecord, Reader aReader, std::uint64_t aOffset)
+{
+  std::erase(aRecord.m_readers, aReader);
+  if (aOffset < aRecord.m_answer.size()) {
+    m_hooks.m_send(aReader.m_peer, AnswerData{ aReader.m_attempt, aOffset, aRecord.m_answer.substr(aOffset), TokensOf(aRecord) });
+  }
+  if (aRecord.m_state == WorkState::kFinished) {
+    SendEnd(aRecord, aReader);
+    return;
+  }
+  aRecord.m_readers.push_back(aReader);
+}
+
+void
+AgentCore::SendEnd(const WorkRecord& aRecord, const Reader& aReader)
+{
+  AnswerEnd end = aRecord.m_end;
+  end.m_attempt = aReader.m_attempt;
+  m_hooks.m_send(aReader.m_peer, end);
+}
+
+void
+AgentCore::On(PeerId aPeer, const Cancel& aMessage)
+{
+  for (RunId run : m_work.ReadBy(aPeer)) {
+    WorkRecord& record = *m_work.Find(run);
+    const Reader reader{ aPeer, aMessage.m_attempt };
+    if (std::find(record.m_readers.begin(), record.m_readers.end(), reader) != record.m_readers.end()) {
+      std::erase(record.m_readers, reader);
+      CancelIfUnread(record);
+      return;
+    }
+  }
+}
+
+void
+AgentCore::CancelIfUnread(WorkRecord& aRecord)
+{
+  // With a key the caller may ask again, and a call that may not repeat must
+  // not be cut short.
+  if (!aRecord.m_readers.empty() || aRecord.m_dispatch.m_keyed || !aRecord.m_dispatch.m_repeatable) {
+    return;
+  }
+  Note("cancelled", aRecord.m_dispatch);
+  if (aRecord.m_state == WorkState::kWaiting) {
+    GiveBack(aRecord.m_run, ResultCode::kCancelled);
+    return;
+  }
+  m_hooks.m_cancel(aRecord.m_run);
+}
+
+void
+AgentCore::OnUpstreamData(RunId aRun, const std::string& aBytes, std::uint64_t aTokens)
+{
+  WorkRecord* record = m_work.Find(aRun);
+  if (record == nullptr || record->m_state != WorkState::kRunning) {
+    return;
+  }
+  const std::uint64_t offset = record->m_answer.size();
+  record->m_answer += aBytes;
+  record->m_generated += aTokens;
+  for (const Reader& reader : record->m_readers) {
+    m_hooks.m_send(reader.m_peer, AnswerData{ reader.m_attempt, offset, aBytes, TokensOf(*record) });
+  }
+}
+
+void
+AgentCore::OnUpstreamEnd(RunId aRun, const UpstreamOutcome& aOutcome)
+{
+  WorkRecord* record = m_work.Find(aRun);
+  if (record == nullptr || record->m_state != WorkState::kRunning) {
+    return;
+  }
+  const Dispatch& dispatch = record->m_dispatch;
+  if (!dispatch.m_repeatable && aOutcome.m_ran == Ran::kNo) {
+    m_journal->Withdraw(dispatch.m_target, dispatch.m_account, dispatch.m_key);
+  }
+  if (!dispatch.m_repeatable && aOutcome.m_ran == Ran::kYes) {
+    JournalEntry entry;
+    entry.m_httpStatus = aOutcome.m_httpStatus;
+    entry.m_contentType = aOutcome.m_contentType;
+    entry.m_body = record->m_answer;
+    m_journal->Finish(dispatch.m_target, dispatch.m_account, dispatch.m_key, std::move(entry));
+  }
+  EndRun(*record, aOutcome);
+  StartReady();
+}
+
+void
+AgentCore::EndRun(WorkRecord& aRecord, const UpstreamOutcome& aOutcome)
+{
+  const Dispatch& dispatch = aRecord.m_dispatch;
+  Note("ended", dispatch, std::string(Describe(aOutcome.m_code).m_name));
+  m_admission.Remove(aRecord.m_run);
+  AnswerEnd& end = aRecord.m_end;
+  end.m_code = aOutcome.m_code;
+  end.m_ran = aOutcome.m_ran;
+  end.m_httpStatus = aOutcome.m_httpStatus;
+  end.m_contentType = aOutcome.m_contentType;
+  end.m_length = aRecord.m_answer.size();
+  end.m_promptTokens = aOutcome.m_promptTokens;
+  end.m_completionTokens = dispatch.m_resumeTokens + aOutcome.m_completionTokens;
+  end.m_finishReason = aOutcome.m_finishReason;
+  BookCharge(aRecord, ChargeOf(aRecord, aOutcome));
+  for (const Reader& reader : aRecord.m_readers) {
+    SendEnd(aRecord, reader);
+  }
+  aRecord.m_readers.clear();
+  const bool mayRunAgain = aOutcome.m_code == ResultCode::kUpstreamFailed && dispatch.m_repeatable;
+  const bool mayLearnMore = aOutcome.m_code == ResultCode::kOutcomeUnknown;
+  if (mayRunAgain || mayLearnMore) {
+    // Not kept: a router may send the work here again, and the journal decides
+    // on a call that may not repeat.
+    m_work.Remove(aRecord.m_run);
+    return;
+  }
+  m_work.Finish(aRecord, m_timers.m_now());
+}
+
+std::uint64_t
+AgentCore::ChargeOf(const WorkRecord& aRecord, const UpstreamOutcome& aOutcome) const
+{
+  const Dispatch& dispatch = aRecord.m_dispatch;
+  if (dispatch.m_kind == WorkKind::kServiceCall) {
+    return aOutcome.m_ran == Ran::kYes ? dispatch.m_fixedCost : 0;
+  }
+  const bool isDelivered = aOutcome.m_code == ResultCode::kOk || aOutcome.m_code == ResultCode::kCancelled;
+  if (!isDelivered) {
+    // Whoever carries the work on charges all of it, this run's tokens included.
+    return 0;
+  }
+  return aOutcome.m_promptTokens + dispatch.m_resumeTokens + aOutcome.m_completionTokens;
+}
+
+void
+AgentCore::BookCharge(const WorkRecord& aRecord, std::uint64_t aTokens)
+{
+  const Dispatch& dispatch = aRecord.m_dispatch;
+  const std::uint64_t tokens = std::min(aTokens, dispatch.m_allotment);
+  const Charge& charge =
+    m_charges.Add(dispatch.m_holder, dispatch.m_account, dispatch.m_key, dispatch.m_attempt, tokens);
+  Note("charged", dispatch, absl::StrCat(tokens, " tokens to ", dispatch.m_holder.Str()));
+  for (const auto& [peer, holder] : m_holders) {
+    if (holder == dispatch.m_holder) {
+      m_hooks.m_send(peer, charge);
+    }
+  }
+}
+
+void
+AgentCore::On(PeerId, const Settled& aMessage)
+{
+  if (aMessage.m_agent == m_options.m_agent) {
+    m_charges.Settle(aMessage.m_holder, aMessage.m_through);
+  }
+}
+
+void
+AgentCore::On(PeerId aPeer, const SealRequest& aMessage)
+{
+  m_charges.Seal(aMessage.m_holder);
+  SealReply reply;
+  reply.m_holder = aMessage.m_holder;
+  reply.m_agent = m_options.m_agent;
+  reply.m_upstream = m_options.m_upstream;
+  reply.m_lastSequence = m_charges.LastSequence(aMessage.m_holder);
+  reply.m_unsettled = m_charges.Unsettled(aMessage.m_holder);
+  reply.m_running = m_work.OpenAccounts(aMessage.m_holder);
+  m_hooks.m_event({ "sealed", "", "", m_options.m_upstream.Str(), aMessage.m_holder.Str() });
+  m_hooks.m_send(aPeer, reply);
+}
+
+void
+AgentCore::ExpireWaiting()
+{
+  const Instant now = m_timers.m_now();
+  std::vector<RunId> expired;
+  for (RunId run : m_waitingRuns) {
+    if (m_work.Find(run)->m_changedAt + m_options.m_maxWait < now) {
+      expired.push_back(run);
+    }
+  }
+  for (RunId run : expired) {
+    GiveBack(run, ResultCode::kDeadlineExceeded);
+  }
+}
+
+void
+AgentCore::Sweep()
+{
+  ExpireWaiting();
+  m_work.Forget(m_timers.m_now());
+  m_timers.m_after(m_options.m_sweepInterval, [this] { Sweep(); });
+}
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/lib/Config/Checks.cpp
@@ -0,0 +1,130 @@
+#include "bergamotpaddle/Config/Checks.h"
+
+#include "CrossChecks.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace bergamotpaddle {
+
+namespace {
+
+using nlohmann::json;
+using JsonAdapter = valijson::adapters::NlohmannJsonAdapter;
+
+/// valijson's context ("<root>", "[pools]", "[a]") as a JSON pointer.
+std::string
+PointerOf(const std::vector<std::string>& aContext)
+{
+  json::json_pointer pointer;
+  for (std::size_t i = 1; i < aContext.size(); ++i) {
+    const std::string& step = aContext[i];
+    pointer /= step.substr(1, step.size() - 2);
+  }
+  return pointer.to_string();
+}
+
+bool
+Has(const json& aValue, const std::string& aPointer)
+{
+  return aValue.is_object() && aValue.contains(json::json_pointer(aPointer));
+}
+
+} // namespace
+
+std::string
+Finding::Str() const
+{
+  return absl::StrCat(m_file, ": ", m_pointer.empty() ? "/" : m_pointer, ": ", m_text);
+}
+
+absl::StatusOr<json>
+ReadJsonFile(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    return absl::NotFoundError(absl::StrCat(aPath, ": cannot be read; check the path"));
+  }
+  try {
+    return json::parse(file);
+  } catch (const json::parse_error& error) {
+    return absl::InvalidArgumentError(absl::StrCat(aPath, ": is not JSON: ", error.what()));
+  }
+}
+
+std::vector<Finding>
+CheckSchema(const json& aValue, const char* aSchema, const std::string& aFile)
+{
+  const json schemaText = json::parse(aSchema);
+  valijson::Schema schema;
+  valijson::SchemaParser parser;
+  parser.populateSchema(JsonAdapter(schemaText), schema);
+  valijson::Validator validator;
+  valijson::ValidationResults results;
+  std::vector<Finding> findings;
+  if (validator.validate(schema, JsonAdapter(aValue), &results)) {
+    return findings;
+  }
+  valijson::ValidationResults::Error error;
+  while (results.popError(error)) {
+    findings.push_back({ aFile, PointerOf(error.context), error.description });
+  }
+  return findings;
+}
+
+std::vector<Finding>
+CheckContent(const std::string& aContent, const std::string& aName)
+{
+  const json content = json::parse(aContent, nullptr, false);
+  if (content.is_discarded()) {
+    return { { aName, "", "is not JSON" } };
+  }
+  std::vector<Finding> findings = CheckSchema(content, ConfigurationSchema(), aName);
+  if (!findings.empty()) {
+    // Checks across values need values of the right shape.
+    return findings;
+  }
+  return CrossCheck(content, aName);
+}
+
+MergedConfiguration
+LoadConfiguration(const std::string& aBasePath, const std::string& aOverlayPath)
+{
+  MergedConfiguration merged;
+  absl::StatusOr<json> base = ReadJsonFile(aBasePath);
+  if (!base.ok()) {
+    merged.m_findings.push_back({ aBasePath, "", std::string(base.status().message()) });
+    return merged;
+  }
+  json overlay = json::object();
+  if (!aOverlayPath.empty()) {
+    absl::StatusOr<json> read = ReadJsonFile(aOverlayPath);
+    if (!read.ok()) {
+      merged.m_findings.push_back({ aOverlayPath, "", std::string(read.status().message()) });
+      return merged;
+    }
+    overlay = *read;
+  }
+  merged.m_findings = CheckOverlayNames(*base, overlay, aOverlayPath);
+  json content = *base;
+  content.merge_patch(overlay);
+  for (Finding finding : CheckContent(content.dump(), aBasePath)) {
+    if (Has(overlay, finding.m_pointer)) {
+      finding.m_file = aOverlayPath;
+    }
+    merged.m_findings.push_back(std::move(finding));
+  }
+  if (merged.m_findings.empty()) {
+    merged.m_content = content.dump();
+  }
+  return merged;
+}
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/lib/Metrics/MetricsText.cpp
@@ -0,0 +1,51 @@
+#include "bergamotpaddle/Metrics/MetricsText.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bergamotpaddle {
+
+namespace {
+
+/// A label's value in quotes; the format escapes like JSON.
+std::string
+Quoted(const std::string& aValue)
+{
+  return nlohmann::json(aValue).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::string
+Number(double aValue)
+{
+  return nlohmann::json(aValue).dump();
+}
+
+} // namespace
+
+MetricsText&
+MetricsText::Family(const std::string& aName, const std::string& aType, const std::string& aHelp)
+{
+  m_family = "bergamotpaddle_" + aName;
+  m_text += "# HELP " + m_family + " " + aHelp + "\n# TYPE " + m_family + " " + aType + "\n";
+  return *this;
+}
+
+MetricsText&
+MetricsText::Sample(double aValue, const MetricLabels& aLabels)
+{
+  m_text += m_family;
+  const char* separator = "{";
+  for (const auto& [name, value] : aLabels) {
+    m_text += separator + name + "=" + Quoted(value);
+    separator = ",";
+  }
+  m_text += (aLabels.empty() ? " " : "} ") + Number(aValue) + "\n";
+  return *this;
+}
+
+MetricsText&
+MetricsText::Single(const std::string& aName, const std::string& aType, const std::string& aHelp, double aValue)
+{
+  return Family(aName, aType, aHelp).Sample(aValue);
+}
+
+} // namespace bergamotpaddle
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -75,6 +75,10 @@
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.m_totalTimeout.count()));
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
+  if (call.m_ownConnection) {
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+  }
   if (call.m_method != "GET") {
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.m_body.size()));
     curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.m_body.c_str());
--- /dev/null
+++ b/lib/Router/Balancer.cpp
@@ -0,0 +1,134 @@
+#include "bergamotpaddle/Router/Balancer.h"
+
+#include <algorithm>
+
+namespace bergamotpaddle {
+
+namespace {
+
+constexpr std::size_t kLeastPoolToJudge = 3;
+
+void
+Smooth(double& aAverage, Duration aSample, double aSmoothing)
+{
+  const auto sample = static_cast<double>(aSample.count());
+  aAverage = aAverage == 0 ? sample : aAverage + aSmoothing * (sample - aAverage);
+}
+
+double
+Slowness(const AgentView& aAgent)
+{
+  // Time between pieces shows a slowed upstream whatever the prompt; without
+  // it the first byte has to do.
+  return aAgent.m_gapMicros > 0 ? aAgent.m_gapMicros : aAgent.m_firstByteMicros;
+}
+
+} // namespace
+
+Balancer::Balancer(BalancerOptions aOptions, std::uint64_t aSeed)
+  : m_options(std::move(aOptions))
+  , m_random(aSeed)
+{
+}
+
+void
+Balancer::NoteFirstByte(AgentView& aAgent, Duration aTime) const
+{
+  Smooth(aAgent.m_firstByteMicros, aTime, m_options.m_smoothing);
+}
+
+void
+Balancer::NoteGap(AgentView& aAgent, Duration aTime) const
+{
+  Smooth(aAgent.m_gapMicros, aTime, m_options.m_smoothing);
+}
+
+std::set<UpstreamId>
+Balancer::SlowOnes(const AgentDirectory& aDirectory, const std::vector<UpstreamId>& aLive) const
+{
+  std::vector<std::pair<double, UpstreamId>> measured;
+  for (const UpstreamId& id : aLive) {
+    const double slowness = Slowness(aDirectory.Agents().at(id));
+    if (slowness > 0) {
+      measured.emplace_back(slowness, id);
+    }
+  }
+  std::set<UpstreamId> slow;
+  if (measured.size() < kLeastPoolToJudge) {
+    return slow;
+  }
+  std::sort(measured.begin(), measured.end());
+  const double middle = measured[measured.size() / 2].first;
+  const std::size_t most = aLive.size() / 3;
+  for (auto it = measured.rbegin(); it != measured.rend() && slow.size() < most; ++it) {
+    if (it->first > m_options.m_slowFactor * middle) {
+      slow.insert(it->second);
+    }
+  }
+  return slow;
+}
+
+bool
+Balancer::IsSlow(const AgentDirectory& aDirectory, const PoolConfig& aPool, const AgentView& aAgent) const
+{
+  std::vector<UpstreamId> live;
+  UpstreamId self;
+  for (const UpstreamId& id : aPool.m_upstreams) {
+    auto found = aDirectory.Agents().find(id);
+    if (found == aDirectory.Agents().end() || !found->second.m_isUp) {
+      continue;
+    }
+    live.push_back(id);
+    if (&found->second == &aAgent) {
+      self = id;
+    }
+  }
+  return SlowOnes(aDirectory, live).contains(self);
+}
+
+double
+Balancer::Load(const AgentView& aAgent, Instant aNow) const
+{
+  const double reported = aAgent.m_heartbeat.m_running + aAgent.m_heartbeat.m_waiting;
+  const double own = aAgent.m_outstanding;
+  double load = own + m_options.m_reportWeight * std::max(0.0, reported - own);
+  if (aAgent.m_config.m_zone != m_options.m_zone) {
+    load += m_options.m_foreignZonePenalty;
+  }
+  const Duration age = aNow - aAgent.m_upSince;
+  if (age < m_options.m_slowStart) {
+    const double share = std::max(0.1, static_cast<double>(age.count()) / m_options.m_slowStart.count());
+    load = (load + 1) / share;
+  }
+  return load;
+}
+
+std::optional<UpstreamId>
+Balancer::Pick(const AgentDirectory& aDirectory,
+               const PoolConfig& aPool,
+               const std::set<UpstreamId>& aExcluded,
+               Instant aNow)
+{
+  std::vector<UpstreamId> live;
+  for (const UpstreamId& id : aPool.m_upstreams) {
+    auto found = aDirectory.Agents().find(id);
+    if (found != aDirectory.Agents().end() && found->second.MayTakeWork() && !aExcluded.contains(id)) {
+      live.push_back(id);
+    }
+  }
+  if (live.empty()) {
+    return std::nullopt;
+  }
+  const std::set<UpstreamId> slow = SlowOnes(aDirectory, live);
+  const bool isProbe = std::uniform_real_distribution<double>(0, 1)(m_random) < m_options.m_probeChance;
+  if (!isProbe && slow.size() < live.size()) {
+    std::erase_if(live, [&](const UpstreamId& aId) { return slow.contains(aId); });
+  }
+  // Ties go to a random one, or every router would send to the first.
+  std::shuffle(live.begin(), live.end(), m_random);
+  return *std::min_element(live.begin(), live.end(), [&](const UpstreamId& aLeft, const UpstreamId& aRight) {
+    return Load(aDirectory.Agents().at(aLeft), aNow) < Load(aDirectory.Agents().at(aRight), aNow);
+  });
+}
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/lib/Router/RequestTable.cpp
@@ -0,0 +1,714 @@
+#include "bergamotpaddle/Router/RequestTable.h"
+
+#include "bergamotpaddle/Support/Hash.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace bergamotpaddle {
+
+namespace {
+
+constexpr Duration kAttachPoll = std::chrono::milliseconds(100);
+constexpr Duration kRetryPause = std::chrono::milliseconds(10);
+
+} // namespace
+
+RequestTable::RequestTable(RequestOptions aOptions,
+                           TimerHooks aTimers,
+                           RequestHooks aHooks,
+                           AgentDirectory& aDirectory,
+                           Balancer& aBalancer)
+  : m_options(aOptions)
+  , m_timers(std::move(aTimers))
+  , m_hooks(std::move(aHooks))
+  , m_directory(&aDirectory)
+  , m_balancer(&aBalancer)
+  , m_retryCredit(aOptions.m_retryBurst)
+{
+}
+
+RequestTable::Request*
+RequestTable::Find(RequestNumber aNumber)
+{
+  auto found = m_requests.find(aNumber);
+  return found == m_requests.end() ? nullptr : &found->second;
+}
+
+RequestTable::Attempt*
+RequestTable::FindAttempt(AttemptId aAttempt)
+{
+  auto found = m_attempts.find(aAttempt);
+  return found == m_attempts.end() ? nullptr : &found->second;
+}
+
+RequestTable::Request*
+RequestTable::CurrentOf(AttemptId aAttempt)
+{
+  Attempt* attempt = FindAttempt(aAttempt);
+  Request* request = attempt == nullptr ? nullptr : Find(attempt->m_request);
+  return request != nullptr && request->m_current == aAttempt ? request : nullptr;
+}
+
+void
+RequestTable::Note(const std::string& aName,
+                   const Request& aRequest,
+                   const UpstreamId& aUpstream,
+                   const std::string& aDetail) const
+{
+  const Dispatch& dispatch = aRequest.m_new.m_dispatch;
+  m_hooks.m_event({ aName, dispatch.m_key.Str(), dispatch.m_account.Str(), aUpstream.Str(), aDetail });
+}
+
+RequestNumber
+RequestTable::Begin(NewRequest aRequest)
+{
+  const RequestNumber number = ++m_lastRequest;
+  Request& request = m_requests[number];
+  request.m_new = std::move(aRequest);
+  request.m_begunAt = m_timers.m_now();
+  ++m_counters.m_begun;
+  m_retryCredit = std::min(m_options.m_retryBurst, m_retryCredit + m_options.m_retryShare);
+  Note("request_begun", request, {});
+  m_timers.m_after(m_options.m_requestTimeout, [this, number] {
+    if (Request* late = Find(number)) {
+      Fail(number, ResultCode::kDeadlineExceeded, late->m_current == 0 && !late->m_mayHaveRun ? Ran::kNo : Ran::kUnknown);
+    }
+  });
+  TryNext(number);
+  return number;
+}
+
+void
+RequestTable::TryNext(RequestNumber aNumber)
+{
+  Request& request = *Find(aNumber);
+  const auto& pools = m_hooks.m_configuration().m_pools;
+  auto pool = pools.find(request.m_new.m_pool);
+  std::optional<UpstreamId> place;
+  if (pool != pools.end()) {
+    place = m_balancer->Pick(*m_directory, pool->second, request.m_excluded, m_timers.m_now());
+  }
+  if (!place.has_value()) {
+    Fail(aNumber, request.m_lastRefusal, request.m_mayHaveRun ? Ran::kUnknown : Ran::kNo);
+    return;
+  }
+  const AttemptId id = ++m_lastAttempt;
+  Attempt& attempt = m_attempts[id];
+  attempt.m_request = aNumber;
+  attempt.m_account = request.m_new.m_dispatch.m_account;
+  attempt.m_key = request.m_new.m_dispatch.m_key;
+  attempt.m_place = *place;
+  AgentView& agent = *m_directory->Find(*place);
+  attempt.m_agent = agent.m_agent;
+  attempt.m_isCounted = true;
+  ++agent.m_outstanding;
+  request.m_current = id;
+  if (request.m_new.m_dispatch.m_keyed) {
+    Claim(id);
+    return;
+  }
+  AskCredit(id);
+}
+
+std::vector<UpstreamId>
+RequestTable::HomesOf(const Request& aRequest) const
+{
+  const Dispatch& dispatch = aRequest.m_new.m_dispatch;
+  const std::string name = absl::StrCat(dispatch.m_account.Str(), "|", dispatch.m_key.Str());
+  std::vector<std::pair<std::uint64_t, UpstreamId>> ranked;
+  for (const UpstreamId& id : m_hooks.m_configuration().m_pools.at(aRequest.m_new.m_pool).m_upstreams) {
+    const AgentView* agent = m_directory->Find(id);
+    if (agent != nullptr && agent->m_isUp) {
+      ranked.emplace_back(RendezvousWeight(name, id.Str()), id);
+    }
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  std::vector<UpstreamId> homes;
+  for (const auto& [weight, id] : ranked) {
+    if (homes.size() < m_options.m_homes) {
+      homes.push_back(id);
+    }
+  }
+  return homes;
+}
+
+void
+RequestTable::Claim(AttemptId aAttempt)
+{
+  Attempt& attempt = *FindAttempt(aAttempt);
+  const Request& request = *Find(attempt.m_request);
+  const Dispatch& dispatch = request.m_new.m_dispatch;
+  attempt.m_state = AttemptState::kClaiming;
+  attempt.m_verdictRank = m_options.m_homes;
+  const std::vector<UpstreamId> homes = HomesOf(request);
+  for (const UpstreamId& home : homes) {
+    attempt.m_homes.emplace(home, false);
+  }
+  for (const UpstreamId& home : homes) {
+    m_hooks.m_send(home,
+                   ClaimRequest{ aAttempt,
+                                 dispatch.m_account,
+                                 dispatch.m_key,
+                                 dispatch.m_fingerprint,
+                                 attempt.m_place,
+                                 request.m_replaces });
+  }
+  m_timers.m_after(m_options.m_claimTimeout, [this, aAttempt] {
+    Attempt* late = FindAttempt(aAttempt);
+    if (late != nullptr && late->m_state == AttemptState::kClaiming) {
+      ClaimDecided(aAttempt);
+    }
+  });
+}
+
+void
+RequestTable::On(const UpstreamId& aFrom, const ClaimReply& aMessage)
+{
+  Request* request = CurrentOf(aMessage.m_attempt);
+  if (request == nullptr) {
+    return;
+  }
+  Attempt& attempt = *FindAttempt(aMessage.m_attempt);
+  auto home = attempt.m_homes.find(aFrom);
+  if (attempt.m_state != AttemptState::kClaiming || home == attempt.m_homes.end() || home->second) {
+    return;
+  }
+  home->second = true;
+  const std::vector<UpstreamId> ranked = HomesOf(*request);
+  const auto rank =
+    static_cast<std::size_t>(std::find(ranked.begin(), ranked.end(), aFrom) - ranked.begin());
+  // The best-ranked home decides; the others remember for when it is gone. A
+  // home that has seen the key outranks one that lost its memory in a restart.
+  const bool knows = aMessage.m_verdict != ClaimVerdict::kGranted;
+  const bool decidedKnows = attempt.m_verdict.has_value() && attempt.m_verdict->m_verdict != ClaimVerdict::kGranted;
+  const bool isBetter = rank < attempt.m_verdictRank;
+  const AgentView* agent = m_directory->Find(aFrom);
+  const bool isYoung = agent != nullptr && agent->m_heartbeat.m_ageMilliseconds < 300'000;
+  if (!attempt.m_verdict.has_value() || (isBetter && !(decidedKnows && !knows && isYoung))) {
+    attempt.m_verdict = aMessage;
+    attempt.m_verdictRank = rank;
+  }
+  const bool allAnswered =
+    std::all_of(attempt.m_homes.begin(), attempt.m_homes.end(), [](const auto& aItem) { return aItem.second; });
+  if (allAnswered) {
+    ClaimDecided(aMessage.m_attempt);
+  }
+}
+
+void
+RequestTable::ClaimDecided(AttemptId aAttempt)
+{
+  Attempt& attempt = *FindAttempt(aAttempt);
+  const RequestNumber number = attempt.m_request;
+  Request& request = *Find(number);
+  if (!attempt.m_verdict.has_value()) {
+    // No home answered: the key may run elsewhere without our knowing.
+    DropAttempt(aAttempt);
+    Fail(number, ResultCode::kOutcomeUnknown, Ran::kUnknown);
+    return;
+  }
+  const ClaimReply verdict = *attempt.m_verdict;
+  if (verdict.m_verdict == ClaimVerdict::kMismatch) {
+    DropAttempt(aAttempt);
+    Fail(number, ResultCode::kKeyReused, Ran::kNo);
+    return;
+  }
+  if (verdict.m_verdict == ClaimVerdict::kPlaced && verdict.m_place != attempt.m_place) {
+    DropAttempt(aAttempt);
+    Note("placed_elsewhere", request, verdict.m_place);
+    AttachWhenUp(number, verdict, m_timers.m_now());
+    return;
+  }
+  if (verdict.m_verdict == ClaimVerdict::kPlaced) {
+    DropAttempt(aAttempt);
+    AttachTo(number, verdict);
+    return;
+  }
+  attempt.m_generation = verdict.m_generation;
+  request.m_replaces = {};
+  AskCredit(aAttempt);
+}
+
+void
+RequestTable::AttachWhenUp(RequestNumber aNumber, const ClaimReply& aPlaced, Instant aSince)
+{
+  const UpstreamId& place = aPlaced.m_place;
+  Request* request = Find(aNumber);
+  if (request == nullptr) {
+    return;
+  }
+  const AgentView* agent = m_directory->Find(place);
+  if (agent == nullptr) {
+    // The configuration has given the upstream up: nothing can come of it.
+    request->m_replaces = place;
+    Retry(aNumber, ResultCode::kOutcomeUnknown);
+    return;
+  }
+  if (agent->m_isUp) {
+    AttachTo(aNumber, aPlaced);
+    return;
+  }
+  if (m_timers.m_now() - aSince > m_options.m_placeTimeout) {
+    Fail(aNumber, ResultCode::kOutcomeUnknown, Ran::kUnknown);
+    return;
+  }
+  m_timers.m_after(kAttachPoll, [this, aNumber, aPlaced, aSince] { AttachWhenUp(aNumber, aPlaced, aSince); });
+}
+
+void
+RequestTable::AttachTo(RequestNumber aNumber, const ClaimReply& aPlaced)
+{
+  Request& request = *Find(aNumber);
+  const AttemptId id = ++m_lastAttempt;
+  Attempt& attempt = m_attempts[id];
+  attempt.m_request = aNumber;
+  attempt.m_account = request.m_new.m_dispatch.m_account;
+  attempt.m_key = request.m_new.m_dispatch.m_key;
+  attempt.m_place = aPlaced.m_place;
+  attempt.m_generation = aPlaced.m_generation;
+  attempt.m_agent = m_directory->Find(aPlaced.m_place)->m_agent;
+  attempt.m_state = AttemptState::kSent;
+  attempt.m_isAttach = true;
+  attempt.m_sentAt = m_timers.m_now();
+  request.m_current = id;
+  Reattach(id, request.m_delivered.size());
+}
+
+void
+RequestTable::Reattach(AttemptId aAttempt, std::uint64_t aOffset)
+{
+  const Attempt& attempt = *FindAttempt(aAttempt);
+  m_hooks.m_send(attempt.m_place,
+                 Attach{ aAttempt, attempt.m_account, attempt.m_key, attempt.m_generation, aOffset });
+}
+
+void
+RequestTable::AskCredit(AttemptId aAttempt)
+{
+  Attempt& attempt = *FindAttempt(aAttempt);
+  const Request& request = *Find(attempt.m_request);
+  const Dispatch& dispatch = request.m_new.m_dispatch;
+  attempt.m_state = AttemptState::kCredit;
+  attempt.m_hasAllotment = true;
+  m_hooks.m_ledger().Allot(
+    aAttempt, dispatch.m_account, dispatch.m_key, dispatch.m_allotment, [this, aAttempt](ResultCode aCode) {
+      Attempt* funded = FindAttempt(aAttempt);
+      if (funded == nullptr || Find(funded->m_request) == nullptr) {
+        m_hooks.m_ledger().Release(aAttempt);
+        DropAttempt(aAttempt);
+        return;
+      }
+      if (aCode == ResultCode::kOk) {
+        Send(aAttempt);
+        return;
+      }
+      const RequestNumber number = funded->m_request;
+      DropAttempt(aAttempt);
+      Fail(number, aCode, Find(number)->m_mayHaveRun ? Ran::kUnknown : Ran::kNo);
+    });
+}
+
+void
+RequestTable::Send(AttemptId aAttempt)
+{
+  Attempt& attempt = *FindAttempt(aAttempt);
+  Request& request = *Find(attempt.m_request);
+  const AgentView* agent = m_directory->Find(attempt.m_place);
+  if (agent == nullptr || !agent->m_isUp || agent->m_agent != attempt.m_agent) {
+    // Its link went while we waited for credit: it never left.
+    const RequestNumber number = attempt.m_request;
+    ReleaseAndDrop(aAttempt);
+    Retry(number, ResultCode::kNoUpstream);
+    return;
+  }
+  Dispatch dispatch = request.m_new.m_dispatch;
+  dispatch.m_attempt = aAttempt;
+  if (!dispatch.m_keyed) {
+    // Only this router places it, and its attempts rise.
+    attempt.m_generation = aAttempt;
+  }
+  dispatch.m_generation = attempt.m_generation;
+  dispatch.m_holder = m_hooks.m_ledger().Holder();
+  dispatch.m_resumeText = request.m_delivered;
+  dispatch.m_resumeTokens = request.m_deliveredTokens;
+  attempt.m_state = AttemptState::kSent;
+  attempt.m_sentAt = m_timers.m_now();
+  attempt.m_lastPiece = attempt.m_sentAt;
+  Note("dispatched", request, attempt.m_place, absl::StrCat("attempt ", aAttempt));
+  m_hooks.m_send(attempt.m_place, std::move(dispatch));
+}
+
+void
+RequestTable::On(const UpstreamId& aFrom, const Accepted& aMessage)
+{
+  Attempt* attempt = FindAttempt(aMessage.m_attempt);
+  if (attempt == nullptr || attempt->m_place != aFrom) {
+    ++m_counters.m_staleFrames;
+    return;
+  }
+  if (aMessage.m_joined && attempt->m_hasAllotment) {
+    // Somebody else's run, charged there.
+    m_hooks.m_ledger().Release(aMessage.m_attempt);
+    attempt->m_hasAllotment = false;
+    attempt->m_isAttach = true;
+  }
+  if (attempt->m_state == AttemptState::kSent) {
+    attempt->m_state = AttemptState::kAccepted;
+  }
+}
+
+void
+RequestTable::On(const UpstreamId& aFrom, const Refused& aMessage)
+{
+  Attempt* attempt = FindAttempt(aMessage.m_attempt);
+  if (attempt == nullptr || attempt->m_place != aFrom) {
+    ++m_counters.m_staleFrames;
+    return;
+  }
+  const RequestNumber number = attempt->m_request;
+  const bool isCurrent = CurrentOf(aMessage.m_attempt) != nullptr;
+  ReleaseAndDrop(aMessage.m_attempt);
+  if (!isCurrent) {
+    return;
+  }
+  Request& request = *Find(number);
+  request.m_current = 0;
+  Note("attempt_refused", request, aFrom, std::string(Describe(aMessage.m_code).m_name));
+  if (aMessage.m_code == ResultCode::kKeyReused) {
+    Fail(number, aMessage.m_code, Ran::kNo);
+    return;
+  }
+  if (request.m_new.m_dispatch.m_keyed) {
+    // The key is placed there; the next claim moves it.
+    request.m_replaces = aFrom;
+  }
+  if (aMessage.m_code == ResultCode::kHolderSealed) {
+    // Makes our ledger find out as well, and start a new holder.
+    m_hooks.m_ledger().Flush([](const absl::Status&) {});
+  }
+  if (aMessage.m_code != ResultCode::kRevoked && aMessage.m_code != ResultCode::kHolderSealed) {
+    request.m_excluded.insert(aFrom);
+  }
+  Retry(number, aMessage.m_code);
+}
+
+void
+RequestTable::On(const UpstreamId& aFrom, const AnswerData& aMessage)
+{
+  Request* request = CurrentOf(aMessage.m_attempt);
+  Attempt* attempt = FindAttempt(aMessage.m_attempt);
+  if (request == nullptr || attempt->m_place != aFrom) {
+    ++m_counters.m_staleFrames;
+    return;
+  }
+  Deliver(*request, *attempt, aMessage);
+}
+
+void
+RequestTable::Deliver(Request& aRequest, Attempt& aAttempt, const AnswerData& aData)
+{
+  const std::uint64_t have = aRequest.m_delivered.size();
+  const std::uint64_t end = aData.m_offset + aData.m_bytes.size();
+  if (aData.m_offset > have) {
+    // Something is missing between: ask for all of it again.
+    ++m_counters.m_staleFrames;
+    Reattach(aData.m_attempt, have);
+    return;
+  }
+  if (end <= have) {
+    ++m_counters.m_staleFrames;
+    return;
+  }
+  const Instant now = m_timers.m_now();
+  AgentView* agent = m_directory->Find(aAttempt.m_place);
+  if (agent != nullptr && !aAttempt.m_isAttach) {
+    if (aAttempt.m_lastPiece == aAttempt.m_sentAt) {
+      m_balancer->NoteFirstByte(*agent, now - aAttempt.m_sentAt);
+    } else {
+      m_balancer->NoteGap(*agent, now - aAttempt.m_lastPiece);
+    }
+  }
+  aAttempt.m_lastPiece = now;
+  const std::string fresh = aData.m_bytes.substr(have - aData.m_offset);
+  aRequest.m_delivered += fresh;
+  aRequest.m_deliveredTokens = aData.m_tokens;
+  aRequest.m_new.m_caller.m_data(fresh);
+}
+
+void
+RequestTable::On(const UpstreamId& aFrom, const AnswerEnd& aMessage)
+{
+  Request* request = CurrentOf(aMessage.m_attempt);
+  Attempt* attempt = FindAttempt(aMessage.m_attempt);
+  if (attempt == nullptr || attempt->m_place != aFrom) {
+    ++m_counters.m_staleFrames;
+    return;
+  }
+  CountOut(*attempt);
+  if (request == nullptr) {
+    return;
+  }
+  const RequestNumber number = attempt->m_request;
+  const bool isRepeatable = request->m_new.m_dispatch.m_repeatable;
+  const bool mayTryAgain = aMessage.m_ran == Ran::kNo || (aMessage.m_code == ResultCode::kUpstreamFailed && isRepeatable);
+  if (aMessage.m_code == ResultCode::kOk) {
+    if (aMessage.m_length > request->m_delivered.size()) {
+      Reattach(aMessage.m_attempt, request->m_delivered.size());
+      return;
+    }
+    Complete(number, aMessage);
+    return;
+  }
+  request->m_current = 0;
+  if (attempt->m_isAttach) {
+    DropAttempt(aMessage.m_attempt);
+  }
+  const bool isFinal = aMessage.m_code == ResultCode::kKeyReused || aMessage.m_code == ResultCode::kJournalUnavailable ||
+                       aMessage.m_code == ResultCode::kJournalFull;
+  if (!mayTryAgain || isFinal) {
+    Fail(number, aMessage.m_code, aMessage.m_ran);
+    return;
+  }
+  if (request->m_new.m_dispatch.m_keyed) {
+    request->m_replaces = aFrom;
+  }
+  request->m_excluded.insert(aFrom);
+  Retry(number, aMessage.m_code);
+}
+
+void
+RequestTable::OnCharged(AttemptId aAttempt)
+{
+  Attempt* attempt = FindAttempt(aAttempt);
+  if (attempt == nullptr) {
+    return;
+  }
+  attempt->m_hasAllotment = false;
+  if (CurrentOf(aAttempt) == nullptr) {
+    DropAttempt(aAttempt);
+  }
+}
+
+bool
+RequestTable::TakeRetry()
+{
+  if (m_retryCredit < 1) {
+    return false;
+  }
+  m_retryCredit -= 1;
+  ++m_counters.m_retries;
+  return true;
+}
+
+void
+RequestTable::Retry(RequestNumber aNumber, ResultCode aWhy)
+{
+  Request& request = *Find(aNumber);
+  request.m_current = 0;
+  request.m_lastRefusal = aWhy;
+  if (++request.m_tries >= m_options.m_maxTries || !TakeRetry()) {
+    const bool mayHaveRun = request.m_mayHaveRun || aWhy == ResultCode::kUpstreamFailed;
+    Fail(aNumber, aWhy, mayHaveRun ? Ran::kUnknown : Ran::kNo);
+    return;
+  }
+  // A pause breaks the recursion and lets a burst of refusals spread out.
+  m_timers.m_after(kRetryPause, [this, aNumber] {
+    Request* again = Find(aNumber);
+    if (again != nullptr && again->m_current == 0) {
+      TryNext(aNumber);
+    }
+  });
+}
+
+void
+RequestTable::OnAgentDown(const UpstreamId& aUpstream)
+{
+  std::vector<AttemptId> lost;
+  for (const auto& [id, attempt] : m_attempts) {
+    if (attempt.m_place == aUpstream) {
+      lost.push_back(id);
+    }
+  }
+  for (AttemptId id : lost) {
+    Lose(id);
+  }
+}
+
+void
+RequestTable::Lose(AttemptId aAttempt)
+{
+  Attempt& attempt = *FindAttempt(aAttempt);
+  if (attempt.m_state == AttemptState::kClaiming || attempt.m_state == AttemptState::kCredit) {
+    // Send() notices that the link is gone.
+    return;
+  }
+  if (attempt.m_state == AttemptState::kLost) {
+    return;
+  }
+  attempt.m_state = AttemptState::kLost;
+  if (Request* request = CurrentOf(aAttempt)) {
+    Note("attempt_lost", *request, attempt.m_place);
+    m_timers.m_after(m_options.m_reconnectGrace, [this, aAttempt] { GraceOver(aAttempt); });
+  }
+}
+
+void
+RequestTable::GraceOver(AttemptId aAttempt)
+{
+  Request* request = CurrentOf(aAttempt);
+  Attempt* attempt = FindAttempt(aAttempt);
+  if (request == nullptr || attempt->m_state != AttemptState::kLost) {
+    return;
+  }
+  const RequestNumber number = attempt->m_request;
+  request->m_mayHaveRun = true;
+  request->m_excluded.insert(attempt->m_place);
+  if (request->m_new.m_dispatch.m_keyed) {
+    request->m_replaces = attempt->m_place;
+  }
+  // The lost attempt keeps its allotment until its fate is known; of the two
+  // charges that may come, only the first counts.
+  m_hooks.m_ledger().MarkDoubled(attempt->m_account, attempt->m_key);
+  ++m_counters.m_resumed;
+  Retry(number, ResultCode::kOutcomeUnknown);
+}
+
+std::vector<AttemptId>
+RequestTable::LostAt(const UpstreamId& aUpstream) const
+{
+  std::vector<AttemptId> lost;
+  for (const auto& [id, attempt] : m_attempts) {
+    if (attempt.m_place == aUpstream && attempt.m_state == AttemptState::kLost) {
+      lost.push_back(id);
+    }
+  }
+  return lost;
+}
+
+void
+RequestTable::OnAgentUp(const UpstreamId& aUpstream, bool aIsSameLife)
+{
+  for (AttemptId id : LostAt(aUpstream)) {
+    if (!aIsSameLife) {
+      LifeOver(id);
+      continue;
+    }
+    // Known there: it goes on, or has ended. Unknown: revoked by this question.
+    const Request* request = CurrentOf(id);
+    FindAttempt(id)->m_state = AttemptState::kAccepted;
+    Reattach(id, request == nullptr ? UINT64_MAX : request->m_delivered.size());
+  }
+}
+
+void
+RequestTable::OnAgentGone(const UpstreamId& aUpstream)
+{
+  for (AttemptId id : LostAt(aUpstream)) {
+    LifeOver(id);
+  }
+}
+
+void
+RequestTable::LifeOver(AttemptId aAttempt)
+{
+  // The agent's life that could have run or charged it is over.
+  const Attempt attempt = *FindAttempt(aAttempt);
+  Request* request = CurrentOf(aAttempt);
+  ReleaseAndDrop(aAttempt);
+  if (request == nullptr) {
+    return;
+  }
+  request->m_mayHaveRun = true;
+  ++m_counters.m_resumed;
+  if (request->m_new.m_dispatch.m_keyed) {
+    request->m_replaces = attempt.m_place;
+  }
+  Retry(attempt.m_request, ResultCode::kOutcomeUnknown);
+}
+
+void
+RequestTable::CallerGone(RequestNumber aNumber)
+{
+  Request* request = Find(aNumber);
+  if (request == nullptr) {
+    return;
+  }
+  Note("caller_left", *request, {});
+  const AttemptId current = request->m_current;
+  if (const Attempt* attempt = FindAttempt(current)) {
+    m_hooks.m_send(attempt->m_place, Cancel{ current });
+  }
+  EndRequest(aNumber);
+}
+
+void
+RequestTable::Complete(RequestNumber aNumber, const AnswerEnd& aEnd)
+{
+  const CallerHooks caller = Find(aNumber)->m_new.m_caller;
+  ++m_counters.m_completed;
+  Note("request_completed", *Find(aNumber), {});
+  EndRequest(aNumber);
+  caller.m_end(aEnd);
+}
+
+void
+RequestTable::Fail(RequestNumber aNumber, ResultCode aCode, Ran aRan)
+{
+  const CallerHooks caller = Find(aNumber)->m_new.m_caller;
+  ++m_counters.m_failed;
+  Note("request_failed", *Find(aNumber), {}, std::string(Describe(aCode).m_name) + ", ran: " + std::string(RanName(aRan)));
+  const AttemptId current = Find(aNumber)->m_current;
+  if (const Attempt* attempt = FindAttempt(current)) {
+    m_hooks.m_send(attempt->m_place, Cancel{ current });
+  }
+  EndRequest(aNumber);
+  caller.m_fail({ aCode, aRan });
+}
+
+void
+RequestTable::EndRequest(RequestNumber aNumber)
+{
+  const AttemptId current = Find(aNumber)->m_current;
+  m_requests.erase(aNumber);
+  Attempt* attempt = FindAttempt(current);
+  if (attempt == nullptr) {
+    return;
+  }
+  CountOut(*attempt);
+  attempt->m_request = 0;
+  const bool isOwed = attempt->m_hasAllotment;
+  if (!isOwed) {
+    m_attempts.erase(current);
+  }
+}
+
+void
+RequestTable::CountOut(Attempt& aAttempt)
+{
+  AgentView* agent = m_directory->Find(aAttempt.m_place);
+  if (aAttempt.m_isCounted && agent != nullptr && agent->m_outstanding > 0) {
+    --agent->m_outstanding;
+  }
+  aAttempt.m_isCounted = false;
+}
+
+void
+RequestTable::DropAttempt(AttemptId aAttempt)
+{
+  Attempt* attempt = FindAttempt(aAttempt);
+  if (attempt == nullptr) {
+    return;
+  }
+  CountOut(*attempt);
+  m_attempts.erase(aAttempt);
+}
+
+void
+RequestTable::ReleaseAndDrop(AttemptId aAttempt)
+{
+  m_hooks.m_ledger().Release(aAttempt);
+  DropAttempt(aAttempt);
+}
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/lib/Router/RouterCore.cpp
@@ -0,0 +1,351 @@
+#include "bergamotpaddle/Router/RouterCore.h"
+
+#include <algorithm>
+
+namespace bergamotpaddle {
+
+namespace {
+
+constexpr Duration kRetirePoll = std::chrono::milliseconds(50);
+constexpr Duration kPeerDeadAfter = std::chrono::seconds(3);
+
+} // namespace
+
+RouterCore::RouterCore(RouterOptions aOptions, KeyValueHooks aKeyValue, TimerHooks aTimers, RouterHooks aHooks)
+  : m_options(std::move(aOptions))
+  , m_keyValue(std::move(aKeyValue))
+  , m_timers(std::move(aTimers))
+  , m_hooks(std::move(aHooks))
+  , m_configWatcher(m_keyValue,
+                    m_timers,
+                    m_config,
+                    [this](const absl::Status& aStatus) {
+                      m_hooks.m_event({ "config_rejected", "", "", "", std::string(aStatus.message()) });
+                    })
+  , m_directory(m_options.m_directory,
+                m_timers,
+                { m_hooks.m_dial,
+                  m_hooks.m_close,
+                  [this](const UpstreamId& aUpstream, bool aIsSameLife) {
+                    m_hooks.m_event({ "agent_up", "", "", aUpstream.Str(), aIsSameLife ? "same life" : "new life" });
+                    m_requests.OnAgentUp(aUpstream, aIsSameLife);
+                  },
+                  [this](const UpstreamId& aUpstream) { m_requests.OnAgentGone(aUpstream); },
+                  [this](const UpstreamId& aUpstream) {
+                    m_hooks.m_event({ "agent_down", "", "", aUpstream.Str(), "" });
+                    m_requests.OnAgentDown(aUpstream);
+                  } })
+  , m_balancer(m_options.m_balancer, m_options.m_seed)
+  , m_ledger(MakeLedger())
+  , m_credit(m_timers,
+             { m_hooks.m_send,
+               [this]() -> Ledger& { return *m_ledger; },
+               [this](const AccountId& aAccount, const std::vector<HolderId>&) { m_recovery.Hurry(aAccount); } })
+  , m_recovery(m_keyValue,
+               m_timers,
+               { [this] {
+                  std::set<UpstreamId> upstreams;
+                  for (const auto& [id, agent] : m_directory.Agents()) {
+                    upstreams.insert(id);
+                  }
+                  return upstreams;
+                },
+                 [this](const UpstreamId& aUpstream, const Message& aMessage) {
+                   const AgentView* agent = m_directory.Find(aUpstream);
+                   return agent != nullptr && agent->m_isUp && m_hooks.m_send(agent->m_peer, aMessage);
+                 },
+                 [this](const AccountId& aAccount) -> std::optional<std::uint64_t> {
+                   auto account = Current().m_accounts.find(aAccount);
+                   if (account == Current().m_accounts.end()) {
+                     return std::nullopt;
+                   }
+                   return account->second.m_budgetTokens;
+                 },
+                 [this](const HolderId& aHolder) {
+                   m_hooks.m_event({ "holder_recovered", "", "", "", aHolder.Str() });
+                 },
+                 [this](const HolderId& aHolder, const AccountId& aAccount) {
+                   m_hooks.m_event({ "account_released", "", aAccount.Str(), "", aHolder.Str() });
+                 } })
+  , m_holderWatch(m_options.m_holderWatch,
+                  m_keyValue,
+                  m_timers,
+                  { [this] { return m_ledger->Holder(); },
+                    [this] { return m_options.m_process; },
+                    [this](const HolderId& aHolder) {
+                      m_hooks.m_event({ "recovery_begun", "", "", "", aHolder.Str() });
+                      m_recovery.Recover(aHolder);
+                    } })
+  , m_requests(m_options.m_requests,
+               m_timers,
+               { [this](const UpstreamId& aUpstream, Message aMessage) {
+                  const AgentView* agent = m_directory.Find(aUpstream);
+                  return agent != nullptr && agent->m_isUp && m_hooks.m_send(agent->m_peer, std::move(aMessage));
+                },
+                 [this]() -> Ledger& { return *m_ledger; },
+                 [this]() -> const Configuration& { return Current(); },
+                 m_hooks.m_event },
+               m_directory,
+               m_balancer)
+  , m_startedAt(m_timers.m_now())
+{
+  for (const std::string& address : m_options.m_peerAddresses) {
+    m_peerRouters.push_back({ address, 0, {}, {} });
+  }
+  m_config.OnChange([this](const ConfigurationPtr& aConfiguration) {
+    m_hooks.m_event({ "config_in_force", "", "", "", "version " + std::to_string(aConfiguration->m_version) });
+    m_directory.Configure(*aConfiguration);
+  });
+}
+
+void
+RouterCore::Start()
+{
+  m_configWatcher.Start();
+  m_holderWatch.Start();
+  Tick();
+}
+
+std::unique_ptr<Ledger>
+RouterCore::MakeLedger()
+{
+  LedgerHooks hooks;
+  hooks.m_initialBudget = [this](const AccountId& aAccount) -> std::optional<std::uint64_t> {
+    auto account = Current().m_accounts.find(aAccount);
+    if (account == Current().m_accounts.end()) {
+      return std::nullopt;
+    }
+    return account->second.m_budgetTokens;
+  };
+  hooks.m_askHolders = [this](const AccountId& aAccount,
+                              std::uint64_t aTokens,
+                              const std::vector<HolderId>& aHolders,
+                              LedgerHooks::AskedHook aDone) {
+    m_credit.Ask(aAccount, aTokens, aHolders, std::move(aDone));
+  };
+  const HolderId holder = m_hooks.m_newHolder();
+  hooks.m_settled = [this, holder](const AgentId& aAgent, std::uint64_t aThrough) {
+    for (const auto& [id, agent] : m_directory.Agents()) {
+      if (agent.m_isUp && agent.m_agent == aAgent) {
+        m_hooks.m_send(agent.m_peer, Settled{ holder, aAgent, aThrough });
+      }
+    }
+  };
+  hooks.m_sealed = [this] { ReplaceLedger(); };
+  return std::make_unique<Ledger>(m_options.m_ledger, holder, m_keyValue, m_timers, std::move(hooks));
+}
+
+void
+RouterCore::ReplaceLedger()
+{
+  m_hooks.m_event({ "holder_sealed", "", "", "", m_ledger->Holder().Str() });
+  m_sealedLedgers.push_back(std::move(m_ledger));
+  m_ledger = MakeLedger();
+  for (PeerId peer : m_open) {
+    IntroduceTo(peer);
+  }
+}
+
+void
+RouterCore::IntroduceTo(PeerId aPeer)
+{
+  Introduce introduce;
+  introduce.m_process = m_options.m_process;
+  introduce.m_role = ProcessRole::kRouter;
+  introduce.m_zone = m_options.m_zone;
+  introduce.m_holder = m_ledger->Holder();
+  m_hooks.m_send(aPeer, introduce);
+}
+
+void
+RouterCore::OnOpened(PeerId aPeer)
+{
+  m_open.insert(aPeer);
+  IntroduceTo(aPeer);
+}
+
+void
+RouterCore::OnClosed(PeerId aPeer)
+{
+  m_open.erase(aPeer);
+  m_credit.OnClosed(aPeer);
+  m_directory.OnClosed(aPeer);
+  for (PeerRouter& peer : m_peerRouters) {
+    if (peer.m_peer == aPeer) {
+      peer.m_peer = 0;
+      peer.m_nextDial = m_timers.m_now() + m_options.m_peerRedialAfter;
+    }
+  }
+}
+
+void
+RouterCore::OnMessage(PeerId aPeer, const Message& aMessage)
+{
+  m_directory.OnHeard(aPeer);
+  for (PeerRouter& peer : m_peerRouters) {
+    if (peer.m_peer == aPeer) {
+      peer.m_lastHeard = m_timers.m_now();
+    }
+  }
+  std::visit([&](const auto& aOne) { On(aPeer, aOne); }, aMessage);
+}
+
+void
+RouterCore::On(PeerId aPeer, const Introduce& aMessage)
+{
+  if (aMessage.m_role == ProcessRole::kRouter) {
+    m_credit.OnIntroduce(aPeer, aMessage);
+    return;
+  }
+  m_directory.OnIntroduce(aPeer, aMessage);
+}
+
+void
+RouterCore::On(PeerId aPeer, const Heartbeat& aMessage)
+{
+  m_directory.OnHeartbeat(aPeer, aMessage);
+  if (aMessage.m_configVersion < Current().m_version) {
+    m_hooks.m_send(aPeer, ConfigOffer{ Current().m_version, m_config.Document() });
+  }
+}
+
+void
+RouterCore::On(PeerId aPeer, const ClaimReply& aMessage)
+{
+  m_requests.On(m_directory.UpstreamOf(aPeer), aMessage);
+}
+
+void
+RouterCore::On(PeerId aPeer, const Accepted& aMessage)
+{
+  m_requests.On(m_directory.UpstreamOf(aPeer), aMessage);
+}
+
+void
+RouterCore::On(PeerId aPeer, const Refused& aMessage)
+{
+  m_requests.On(m_directory.UpstreamOf(aPeer), aMessage);
+}
+
+void
+RouterCore::On(PeerId aPeer, const AnswerData& aMessage)
+{
+  m_requests.On(m_directory.UpstreamOf(aPeer), aMessage);
+}
+
+void
+RouterCore::On(PeerId aPeer, const AnswerEnd& aMessage)
+{
+  m_requests.On(m_directory.UpstreamOf(aPeer), aMessage);
+}
+
+void
+RouterCore::On(PeerId, const Charge& aMessage)
+{
+  m_ledger->OnCharge(aMessage);
+  if (aMessage.m_holder == m_ledger->Holder()) {
+    m_requests.OnCharged(aMessage.m_attempt);
+  }
+}
+
+void
+RouterCore::On(PeerId, const SealReply& aMessage)
+{
+  m_recovery.OnSealReply(aMessage);
+}
+
+void
+RouterCore::On(PeerId, const ConfigOffer& aMessage)
+{
+  const absl::Status offered = m_config.Offer(aMessage.m_document);
+  if (!offered.ok()) {
+    m_hooks.m_event({ "config_rejected", "", "", "", std::string(offered.message()) });
+  }
+}
+
+void
+RouterCore::On(PeerId aPeer, const CreditRequest& aMessage)
+{
+  m_credit.On(aPeer, aMessage);
+}
+
+void
+RouterCore::On(PeerId aPeer, const CreditReply& aMessage)
+{
+  m_credit.On(aPeer, aMessage);
+}
+
+Heartbeat
+RouterCore::MakeHeartbeat() const
+{
+  Heartbeat heartbeat;
+  heartbeat.m_configVersion = Current().m_version;
+  heartbeat.m_draining = m_stopping;
+  heartbeat.m_running = static_cast<std::uint32_t>(m_requests.UnderWay());
+  heartbeat.m_ageMilliseconds = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.m_now() - m_startedAt).count());
+  return heartbeat;
+}
+
+void
+RouterCore::Tick()
+{
+  m_directory.Tick();
+  TickPeers();
+  const Heartbeat heartbeat = MakeHeartbeat();
+  for (PeerId peer : m_open) {
+    m_hooks.m_send(peer, heartbeat);
+  }
+  m_timers.m_after(m_options.m_heartbeatInterval, [this] { Tick(); });
+}
+
+void
+RouterCore::TickPeers()
+{
+  const Instant now = m_timers.m_now();
+  for (PeerRouter& peer : m_peerRouters) {
+    if (peer.m_peer != 0 && now - peer.m_lastHeard > kPeerDeadAfter) {
+      m_hooks.m_close(peer.m_peer);
+      m_credit.OnClosed(peer.m_peer);
+      peer.m_peer = 0;
+      peer.m_nextDial = now + m_options.m_peerRedialAfter;
+    }
+    if (peer.m_peer == 0 && now >= peer.m_nextDial) {
+      peer.m_peer = m_hooks.m_dial(peer.m_address);
+      peer.m_lastHeard = now;
+    }
+  }
+}
+
+std::vector<ProcessVersion>
+RouterCore::Versions() const
+{
+  std::vector<ProcessVersion> versions{ { m_options.m_process, Current().m_version } };
+  for (const auto& [id, agent] : m_directory.Agents()) {
+    if (agent.m_isUp) {
+      versions.push_back({ "agent " + id.Str(), agent.m_heartbeat.m_configVersion });
+    }
+  }
+  return versions;
+}
+
+void
+RouterCore::Retire(std::function<void()> aDone)
+{
+  m_stopping = true;
+  FinishRetirement(std::move(aDone));
+}
+
+void
+RouterCore::FinishRetirement(std::function<void()> aDone)
+{
+  const bool isBusy = m_requests.UnderWay() > 0 || m_ledger->OutstandingAttempts() > 0;
+  if (isBusy) {
+    m_timers.m_after(kRetirePoll, [this, done = std::move(aDone)] { FinishRetirement(done); });
+    return;
+  }
+  m_holderWatch.Stop();
+  m_ledger->Retire(std::move(aDone));
+}
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/lib/Upstream/SseParser.cpp
@@ -0,0 +1,48 @@
+#include "bergamotpaddle/Upstream/SseParser.h"
+
+namespace bergamotpaddle {
+
+namespace {
+
+constexpr std::size_t kMaxLineBytes = 4U << 20U;
+constexpr std::string_view kDataField = "data:";
+
+} // namespace
+
+SseParser::SseParser(DataHook aHook)
+  : m_hook(std::move(aHook))
+{
+}
+
+void
+SseParser::Feed(const std::string& aBytes)
+{
+  m_partial += aBytes;
+  std::size_t begin = 0;
+  for (std::size_t end = m_partial.find('\n'); end != std::string::npos; end = m_partial.find('\n', begin)) {
+    TakeLine(m_partial.substr(begin, end - begin));
+    begin = end + 1;
+  }
+  m_partial.erase(0, begin);
+  if (m_partial.size() > kMaxLineBytes) {
+    m_partial.clear();
+  }
+}
+
+void
+SseParser::TakeLine(const std::string& aLine)
+{
+  if (!aLine.starts_with(kDataField)) {
+    return;
+  }
+  std::string data = aLine.substr(kDataField.size());
+  if (!data.empty() && data.front() == ' ') {
+    data.erase(0, 1);
+  }
+  if (!data.empty() && data.back() == '\r') {
+    data.pop_back();
+  }
+  m_hook(data);
+}
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/tools/bergamotpaddled/Main.cpp
@@ -0,0 +1,37 @@
+/// \file
+/// The daemon: a router on an entry host or an agent beside an upstream, as
+/// its settings say.
+#include "bergamotpaddle/Daemon/Roles.h"
+
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(settings, "", "path of the process's settings, a JSON file (docs/CONFIGURATION.md)");
+DEFINE_bool(check, false, "check the settings and exit: 0 if they are right, 2 if not");
+
+namespace {
+
+constexpr int kExitWrongSettings = 2;
+
+} // namespace
+
+int
+main(int aArgumentCount, char** aArguments)
+{
+  gflags::SetUsageMessage("runs a router or an agent of the bergamotpaddle fleet\n  bergamotpaddled --settings FILE");
+  gflags::SetVersionString("0.1.0");
+  gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
+  const bergamotpaddle::LoadedSettings loaded = bergamotpaddle::LoadProcessSettings(FLAGS_settings);
+  for (const bergamotpaddle::Finding& finding : loaded.m_findings) {
+    std::cerr << finding.Str() << "\n";
+  }
+  if (!loaded.m_findings.empty()) {
+    return kExitWrongSettings;
+  }
+  if (FLAGS_check) {
+    std::cout << "settings are right\n";
+    return 0;
+  }
+  const bool isRouter = loaded.m_settings.m_role == bergamotpaddle::ProcessRole::kRouter;
+  return isRouter ? bergamotpaddle::RunRouter(loaded.m_settings) : bergamotpaddle::RunAgent(loaded.m_settings);
+}
