--- a/lib/Net/HttpConnection.cpp
+++ b/lib/Net/HttpConnection.cpp
@@ -307,6 +307,8 @@
 void
 ReactorTransport::Sweep()
 {
+  // Left unread the timer would wake the reactor at once, for ever.
+  Consume(m_sweepTimer);
   const auto now = std::chrono::steady_clock::now();
   for (const auto& peer : getAllPeer()) {
     auto [entry, isNew] = m_connections.try_emplace(peer->getID(), Connection{ nullptr, now });
