--- a/include/bergamotpaddle/Agent/Admission.h
+++ b/include/bergamotpaddle/Agent/Admission.h
@@ -6,7 +6,7 @@
 /// class the client accounts share by weight, whatever each has queued.
 #pragma once
 
-#include "bergamotpaddle/Support/Time.h"
+#include "bergamotpaddle/Config/AdmissionOptions.h"
 #include "bergamotpaddle/Support/TypedId.h"
 
 #include <cstdint>
@@ -20,16 +20,6 @@
 /// Numbers a run within one agent's life.
 using RunId = std::uint64_t;
 
-/// Bounds of one upstream.
-struct AdmissionOptions
-{
-  std::size_t m_slots = 8;              ///< Runs at once.
-  std::size_t m_slotsKeptForShort = 2;  ///< Of the slots; long work never takes these.
-  std::size_t m_maxWaiting = 64;        ///< Runs that may wait.
-  std::uint64_t m_shortTokens = 256;    ///< Work of at most this cost is short.
-  auto operator<=>(const AdmissionOptions&) const = default;
-};
-
 /// Work that asks for a slot.
 struct AdmissionRequest
 {
--- a/include/bergamotpaddle/Agent/AgentCore.h
+++ b/include/bergamotpaddle/Agent/AgentCore.h
@@ -25,6 +25,7 @@
   Duration m_sweepInterval = std::chrono::seconds(1);
   std::size_t m_answerBytes = 48U << 20U;
   std::size_t m_maxClaims = 200'000;
+  Duration m_earlyWait = std::chrono::milliseconds(800); ///< For the dispatch that an attach came ahead of.
   std::size_t m_maxUnsettled = 20'000; ///< Charges of one holder; beyond, its work is refused.
 };
 
@@ -101,6 +102,10 @@
   void GiveBack(RunId aRun, ResultCode aCode);
   void Enqueue(PeerId aPeer, WorkRecord& aRecord);
   void StartReady();
+  void AttachKnown(PeerId aPeer, const Attach& aMessage, WorkRecord& aRecord);
+  void Revoke(PeerId aPeer, const Attach& aMessage);
+  void EarlyOver(const WorkTable::Name& aName);
+  void AttachEarly(const WorkTable::Name& aName);
   void AddReader(WorkRecord& aRecord, Reader aReader, std::uint64_t aOffset);
   void SendEnd(const WorkRecord& aRecord, const Reader& aReader);
   void RemoveReader(WorkRecord& aRecord, const Reader& aReader);
@@ -122,6 +127,7 @@
   WorkTable m_work;
   std::map<PeerId, HolderId> m_holders; ///< The present holder of each linked router.
   std::set<RunId> m_waitingRuns;
+  std::map<WorkTable::Name, std::vector<std::pair<PeerId, Attach>>> m_early; ///< Attaches ahead of their dispatch.
   Instant m_startedAt;
   bool m_upstreamHealthy = true;
   bool m_upstreamDraining = false;
--- a/include/bergamotpaddle/Agent/WorkTable.h
+++ b/include/bergamotpaddle/Agent/WorkTable.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "bergamotpaddle/Agent/Admission.h"
+#include "bergamotpaddle/Support/Time.h"
 #include "bergamotpaddle/Wire/Messages.h"
 
 #include <deque>
--- a/include/bergamotpaddle/Budget/Ledger.h
+++ b/include/bergamotpaddle/Budget/Ledger.h
@@ -82,6 +82,10 @@
   /// have run: of their charges only the first above zero counts.
   void MarkDoubled(const AccountId& aAccount, const RequestKey& aKey);
 
+  /// No more attempts of this request will leave; its mark goes with the last
+  /// one that is out.
+  void EndDoubled(const AccountId& aAccount, const RequestKey& aKey);
+
   /// A charge came in; duplicates and gaps in the sequence are passed over.
   void OnCharge(const Charge& aCharge);
 
@@ -167,6 +171,7 @@
   LedgerValue Snapshot() const;
   void BecameSealed();
   void ForgetAttempt(AttemptId aAttempt);
+  void ForgetDoubledIfOver(const AccountId& aAccount, const RequestKey& aKey);
   std::uint64_t BillOf(const Charge& aCharge, std::uint64_t aAllotment);
   void CloseNextAccount(std::vector<AccountId> aLeft, std::function<void()> aDone);
   void After(Duration aDelay, std::function<void()> aTask);
@@ -182,6 +187,7 @@
   std::map<AgentId, std::uint64_t> m_through;
   std::map<AgentId, std::uint64_t> m_durableThrough;
   std::map<std::string, std::uint64_t> m_doubled;
+  std::set<std::string> m_doubledOpen; ///< Of requests that may still send attempts.
   bool m_dirty = false;
   bool m_retiring = false;
   bool m_announcedSeal = false;
--- a/include/bergamotpaddle/Config/Configuration.h
+++ b/include/bergamotpaddle/Config/Configuration.h
@@ -3,7 +3,7 @@
 /// client accounts, pools of upstreams, models, plain services and limits.
 #pragma once
 
-#include "bergamotpaddle/Agent/Admission.h"
+#include "bergamotpaddle/Config/AdmissionOptions.h"
 #include "bergamotpaddle/Support/TypedId.h"
 
 #include <absl/status/statusor.h>
--- a/include/bergamotpaddle/Router/RequestTable.h
+++ b/include/bergamotpaddle/Router/RequestTable.h
@@ -146,7 +146,8 @@
     NewRequest m_new;
     AttemptId m_current = 0;
     std::set<UpstreamId> m_excluded;
-    UpstreamId m_replaces; ///< For the next claim.
+    UpstreamId m_replaces; ///< Placement that the next claim may move.
+    std::uint64_t m_replacesGeneration = 0;
     int m_tries = 0;
     bool m_mayHaveRun = false; ///< Some attempt was lost.
     ResultCode m_lastRefusal = ResultCode::kNoUpstream;
@@ -168,7 +169,8 @@
   void Send(AttemptId aAttempt);
   void AttachTo(RequestNumber aNumber, const ClaimReply& aPlaced);
   void AttachWhenUp(RequestNumber aNumber, const ClaimReply& aPlaced, Instant aSince);
-  void Reattach(AttemptId aAttempt, std::uint64_t aOffset);
+  void Reattach(AttemptId aAttempt, std::uint64_t aOffset, bool aMayWait);
+  static void Unplace(Request& aRequest, const Attempt& aAttempt);
   std::vector<AttemptId> LostAt(const UpstreamId& aUpstream) const;
   void LifeOver(AttemptId aAttempt);
   void Lose(AttemptId aAttempt);
--- a/include/bergamotpaddle/Wire/Messages.h
+++ b/include/bergamotpaddle/Wire/Messages.h
@@ -68,8 +68,9 @@
   std::string m_fingerprint; ///< Hash of the request's content.
   UpstreamId m_place;
   UpstreamId m_replaces;     ///< The place that was proved not to run it, or empty.
+  std::uint64_t m_replacesGeneration = 0; ///< Of that placement; a later one is not moved.
   auto operator<=>(const ClaimRequest&) const = default;
-  MSGPACK_DEFINE(m_attempt, m_account, m_key, m_fingerprint, m_place, m_replaces)
+  MSGPACK_DEFINE(m_attempt, m_account, m_key, m_fingerprint, m_place, m_replaces, m_replacesGeneration)
 };
 
 /// What a home says to a claim.
@@ -147,8 +148,9 @@
   RequestKey m_key;
   std::uint64_t m_generation = 0;
   std::uint64_t m_offset = 0;
+  bool m_mayWait = false; ///< Another router's dispatch may be on its way.
   auto operator<=>(const Attach&) const = default;
-  MSGPACK_DEFINE(m_attempt, m_account, m_key, m_generation, m_offset)
+  MSGPACK_DEFINE(m_attempt, m_account, m_key, m_generation, m_offset, m_mayWait)
 };
 
 /// Router to agent: nobody waits for this attempt any more.
--- a/lib/Agent/AgentCore.cpp
+++ b/lib/Agent/AgentCore.cpp
@@ -147,9 +147,10 @@
   }
   if (aMessage.m_repeatable) {
     Enqueue(aPeer, m_work.Add(aMessage, WorkState::kWaiting, m_timers.m_now()));
-    return;
+  } else {
+    JournalStart(aPeer, m_work.Add(aMessage, WorkState::kJournaling, m_timers.m_now()));
   }
-  JournalStart(aPeer, m_work.Add(aMessage, WorkState::kJournaling, m_timers.m_now()));
+  AttachEarly({ aMessage.m_account, aMessage.m_key });
 }
 
 void
@@ -300,30 +301,82 @@
 
 void
 AgentCore::On(PeerId aPeer, const Attach& aMessage)
+{
+  const WorkTable::Name name{ aMessage.m_account, aMessage.m_key };
+  WorkRecord* record = m_work.Find(aMessage.m_account, aMessage.m_key);
+  if (record != nullptr && record->m_state != WorkState::kRevoked) {
+    AttachKnown(aPeer, aMessage, *record);
+    return;
+  }
+  const bool isRevoked = record != nullptr && record->m_dispatch.m_generation >= aMessage.m_generation;
+  if (isRevoked || !aMessage.m_mayWait) {
+    Revoke(aPeer, aMessage);
+    return;
+  }
+  std::vector<std::pair<PeerId, Attach>>& early = m_early[name];
+  early.emplace_back(aPeer, aMessage);
+  if (early.size() == 1) {
+    m_timers.m_after(m_options.m_earlyWait, [this, name] { EarlyOver(name); });
+  }
+}
+
+void
+AgentCore::AttachKnown(PeerId aPeer, const Attach& aMessage, WorkRecord& aRecord)
+{
+  Note("attached", aRecord.m_dispatch, absl::StrCat("offset ", aMessage.m_offset));
+  auto holder = m_holders.find(aPeer);
+  const bool isOwn = aRecord.m_dispatch.m_attempt == aMessage.m_attempt && holder != m_holders.end() &&
+                     holder->second == aRecord.m_dispatch.m_holder;
+  m_hooks.m_send(aPeer, Accepted{ aMessage.m_attempt, !isOwn });
+  AddReader(aRecord, { aPeer, aMessage.m_attempt }, aMessage.m_offset);
+}
+
+void
+AgentCore::Revoke(PeerId aPeer, const Attach& aMessage)
 {
   WorkRecord* record = m_work.Find(aMessage.m_account, aMessage.m_key);
   if (record == nullptr) {
     Dispatch revoked;
     revoked.m_account = aMessage.m_account;
     revoked.m_key = aMessage.m_key;
-    revoked.m_generation = aMessage.m_generation;
-    m_work.Add(revoked, WorkState::kRevoked, m_timers.m_now());
-    Note("revoked", revoked);
-    m_hooks.m_send(aPeer, Refused{ aMessage.m_attempt, ResultCode::kRevoked });
+    record = &m_work.Add(revoked, WorkState::kRevoked, m_timers.m_now());
+  }
+  Dispatch& revoked = record->m_dispatch;
+  revoked.m_generation = std::max(revoked.m_generation, aMessage.m_generation);
+  Note("revoked", revoked);
+  m_hooks.m_send(aPeer, Refused{ aMessage.m_attempt, ResultCode::kRevoked });
+}
+
+void
+AgentCore::EarlyOver(const WorkTable::Name& aName)
+{
+  auto found = m_early.find(aName);
+  if (found == m_early.end()) {
     return;
   }
-  if (record->m_state == WorkState::kRevoked) {
-    Dispatch& revoked = record->m_dispatch;
-    revoked.m_generation = std::max(revoked.m_generation, aMessage.m_generation);
-    m_hooks.m_send(aPeer, Refused{ aMessage.m_attempt, ResultCode::kRevoked });
+  const std::vector<std::pair<PeerId, Attach>> early = std::move(found->second);
+  m_early.erase(found);
+  for (const auto& [peer, attach] : early) {
+    Revoke(peer, attach);
+  }
+}
+
+void
+AgentCore::AttachEarly(const WorkTable::Name& aName)
+{
+  auto found = m_early.find(aName);
+  if (found == m_early.end()) {
     return;
   }
-  Note("attached", record->m_dispatch, absl::StrCat("offset ", aMessage.m_offset));
-  auto holder = m_holders.find(aPeer);
-  const bool isOwn = record->m_dispatch.m_attempt == aMessage.m_attempt && holder != m_holders.end() &&
-                     holder->second == record->m_dispatch.m_holder;
-  m_hooks.m_send(aPeer, Accepted{ aMessage.m_attempt, !isOwn });
-  AddReader(*record, { aPeer, aMessage.m_attempt }, aMessage.m_offset);
+  const std::vector<std::pair<PeerId, Attach>> early = std::move(found->second);
+  m_early.erase(found);
+  for (const auto& [peer, attach] : early) {
+    if (WorkRecord* record = m_work.Find(aName.first, aName.second)) {
+      AttachKnown(peer, attach, *record);
+      continue;
+    }
+    Revoke(peer, attach);
+  }
 }
 
 void
--- /dev/null
+++ b/lib/Agent/AgentNode.cpp
@@ -0,0 +1,121 @@
+#include "bergamotpaddle/Agent/AgentNode.h"
+
+namespace bergamotpaddle {
+
+AgentNode::AgentNode(AgentNodeOptions aOptions, TimerHooks aTimers, AgentNodeHooks aHooks, Journal& aJournal)
+  : m_options(std::move(aOptions))
+  , m_timers(std::move(aTimers))
+  , m_hooks(std::move(aHooks))
+  , m_core(m_options.m_agent, m_timers, m_hooks.m_agent, aJournal)
+{
+  m_config.OnChange([this](const ConfigurationPtr& aConfiguration) { Configure(*aConfiguration); });
+}
+
+void
+AgentNode::OnOpened(PeerId aPeer)
+{
+  m_lastHeard[aPeer] = m_timers.m_now();
+  Introduce introduce;
+  introduce.m_process = m_options.m_process;
+  introduce.m_role = ProcessRole::kAgent;
+  introduce.m_zone = m_options.m_agent.m_zone;
+  introduce.m_upstream = m_options.m_agent.m_upstream;
+  introduce.m_agent = m_options.m_agent.m_agent;
+  m_hooks.m_agent.m_send(aPeer, introduce);
+  m_hooks.m_agent.m_send(aPeer, MakeHeartbeat());
+}
+
+void
+AgentNode::OnClosed(PeerId aPeer)
+{
+  m_lastHeard.erase(aPeer);
+  m_core.OnPeerClosed(aPeer);
+}
+
+void
+AgentNode::OnMessage(PeerId aPeer, const Message& aMessage)
+{
+  auto heard = m_lastHeard.find(aPeer);
+  if (heard == m_lastHeard.end()) {
+    return;
+  }
+  heard->second = m_timers.m_now();
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&aMessage)) {
+    if (heartbeat->m_configVersion < Current().m_version) {
+      m_hooks.m_agent.m_send(aPeer, ConfigOffer{ Current().m_version, m_config.Document() });
+    }
+    return;
+  }
+  if (const auto* offer = std::get_if<ConfigOffer>(&aMessage)) {
+    const absl::Status offered = m_config.Offer(offer->m_document);
+    if (!offered.ok()) {
+      m_hooks.m_agent.m_event({ "config_rejected", "", "", "", std::string(offered.message()) });
+    }
+    return;
+  }
+  m_core.OnMessage(aPeer, aMessage);
+}
+
+void
+AgentNode::Configure(const Configuration& aConfiguration)
+{
+  const UpstreamId& self = m_options.m_agent.m_upstream;
+  m_hooks.m_agent.m_event(
+    { "config_in_force", "", "", self.Str(), "version " + std::to_string(aConfiguration.m_version) });
+  auto upstream = aConfiguration.m_upstreams.find(self);
+  const bool isKnown = upstream != aConfiguration.m_upstreams.end();
+  m_core.SetUpstreamDraining(!isKnown || upstream->second.m_drained);
+  if (isKnown) {
+    m_core.SetAdmission(aConfiguration.m_pools.at(upstream->second.m_pool).m_admission);
+  }
+  Tell();
+}
+
+void
+AgentNode::SetUpstreamHealthy(bool aHealthy)
+{
+  m_core.SetUpstreamHealthy(aHealthy);
+  Tell();
+}
+
+void
+AgentNode::SetStopping()
+{
+  m_core.SetStopping();
+  Tell();
+}
+
+void
+AgentNode::Tell()
+{
+  const Heartbeat heartbeat = MakeHeartbeat();
+  for (const auto& [peer, lastHeard] : m_lastHeard) {
+    m_hooks.m_agent.m_send(peer, heartbeat);
+  }
+}
+
+void
+AgentNode::Beat()
+{
+  DropSilent();
+  Tell();
+  m_timers.m_after(m_options.m_heartbeatInterval, [this] { Beat(); });
+}
+
+void
+AgentNode::DropSilent()
+{
+  const Instant now = m_timers.m_now();
+  std::vector<PeerId> silent;
+  for (const auto& [peer, lastHeard] : m_lastHeard) {
+    if (now - lastHeard > m_options.m_deadAfter) {
+      silent.push_back(peer);
+    }
+  }
+  for (PeerId peer : silent) {
+    OnClosed(peer);
+    m_hooks.m_close(peer);
+  }
+}
+
+} // namespace bergamotpaddle
--- a/lib/Agent/ClaimTable.cpp
+++ b/lib/Agent/ClaimTable.cpp
@@ -22,7 +22,9 @@
   if (claim.m_fingerprint != aRequest.m_fingerprint) {
     return { aRequest.m_attempt, ClaimVerdict::kMismatch, claim.m_place, claim.m_generation };
   }
-  if (!aRequest.m_replaces.Empty() && claim.m_place == aRequest.m_replaces) {
+  const bool isReplaced = !aRequest.m_replaces.Empty() && claim.m_place == aRequest.m_replaces &&
+                          claim.m_generation == aRequest.m_replacesGeneration;
+  if (isReplaced) {
     claim.m_place = aRequest.m_place;
     ++claim.m_generation;
     return { aRequest.m_attempt, ClaimVerdict::kGranted, claim.m_place, claim.m_generation };
--- a/lib/Budget/Ledger.cpp
+++ b/lib/Budget/Ledger.cpp
@@ -387,14 +387,20 @@
 {
   const Attempt gone = m_attempts.at(aAttempt);
   m_attempts.erase(aAttempt);
-  const std::string name = DoubledName(gone.m_account, gone.m_key);
-  if (!m_doubled.contains(name)) {
+  ForgetDoubledIfOver(gone.m_account, gone.m_key);
+}
+
+void
+Ledger::ForgetDoubledIfOver(const AccountId& aAccount, const RequestKey& aKey)
+{
+  const std::string name = DoubledName(aAccount, aKey);
+  if (!m_doubled.contains(name) || m_doubledOpen.contains(name)) {
     return;
   }
-  const bool hasOther = std::any_of(m_attempts.begin(), m_attempts.end(), [&](const auto& aItem) {
-    return aItem.second.m_account == gone.m_account && aItem.second.m_key == gone.m_key;
+  const bool isOut = std::any_of(m_attempts.begin(), m_attempts.end(), [&](const auto& aItem) {
+    return aItem.second.m_account == aAccount && aItem.second.m_key == aKey;
   });
-  if (!hasOther) {
+  if (!isOut) {
     m_doubled.erase(name);
   }
 }
@@ -402,10 +408,19 @@
 void
 Ledger::MarkDoubled(const AccountId& aAccount, const RequestKey& aKey)
 {
-  m_doubled.try_emplace(DoubledName(aAccount, aKey), 0);
+  const std::string name = DoubledName(aAccount, aKey);
+  m_doubled.try_emplace(name, 0);
+  m_doubledOpen.insert(name);
   m_dirty = true;
 }
 
+void
+Ledger::EndDoubled(const AccountId& aAccount, const RequestKey& aKey)
+{
+  m_doubledOpen.erase(DoubledName(aAccount, aKey));
+  ForgetDoubledIfOver(aAccount, aKey);
+}
+
 void
 Ledger::OnCharge(const Charge& aCharge)
 {
--- a/lib/Router/RequestTable.cpp
+++ b/lib/Router/RequestTable.cpp
@@ -152,7 +152,8 @@
                                  dispatch.m_key,
                                  dispatch.m_fingerprint,
                                  attempt.m_place,
-                                 request.m_replaces });
+                                 request.m_replaces,
+                                 request.m_replacesGeneration });
   }
   m_timers.m_after(m_options.m_claimTimeout, [this, aAttempt] {
     Attempt* late = FindAttempt(aAttempt);
@@ -227,6 +228,7 @@
   }
   attempt.m_generation = verdict.m_generation;
   request.m_replaces = {};
+  request.m_replacesGeneration = 0;
   AskCredit(aAttempt);
 }
 
@@ -242,6 +244,7 @@
   if (agent == nullptr) {
     // The configuration has given the upstream up: nothing can come of it.
     request->m_replaces = place;
+    request->m_replacesGeneration = aPlaced.m_generation;
     Retry(aNumber, ResultCode::kOutcomeUnknown);
     return;
   }
@@ -272,15 +275,22 @@
   attempt.m_isAttach = true;
   attempt.m_sentAt = m_timers.m_now();
   request.m_current = id;
-  Reattach(id, request.m_delivered.size());
+  Reattach(id, request.m_delivered.size(), true);
 }
 
 void
-RequestTable::Reattach(AttemptId aAttempt, std::uint64_t aOffset)
+RequestTable::Reattach(AttemptId aAttempt, std::uint64_t aOffset, bool aMayWait)
 {
   const Attempt& attempt = *FindAttempt(aAttempt);
   m_hooks.m_send(attempt.m_place,
-                 Attach{ aAttempt, attempt.m_account, attempt.m_key, attempt.m_generation, aOffset });
+                 Attach{ aAttempt, attempt.m_account, attempt.m_key, attempt.m_generation, aOffset, aMayWait });
+}
+
+void
+RequestTable::Unplace(Request& aRequest, const Attempt& aAttempt)
+{
+  aRequest.m_replaces = aAttempt.m_place;
+  aRequest.m_replacesGeneration = aAttempt.m_generation;
 }
 
 void
@@ -368,6 +378,7 @@
   }
   const RequestNumber number = attempt->m_request;
   const bool isCurrent = CurrentOf(aMessage.m_attempt) != nullptr;
+  const Attempt refused = *attempt;
   ReleaseAndDrop(aMessage.m_attempt);
   if (!isCurrent) {
     return;
@@ -379,10 +390,8 @@
     Fail(number, aMessage.m_code, Ran::kNo);
     return;
   }
-  if (request.m_new.m_dispatch.m_keyed) {
-    // The key is placed there; the next claim moves it.
-    request.m_replaces = aFrom;
-  }
+  // The key is placed there; the next claim moves it.
+  Unplace(request, refused);
   if (aMessage.m_code == ResultCode::kHolderSealed) {
     // Makes our ledger find out as well, and start a new holder.
     m_hooks.m_ledger().Flush([](const absl::Status&) {});
@@ -413,7 +422,7 @@
   if (aData.m_offset > have) {
     // Something is missing between: ask for all of it again.
     ++m_counters.m_staleFrames;
-    Reattach(aData.m_attempt, have);
+    Reattach(aData.m_attempt, have, false);
     return;
   }
   if (end <= have) {
@@ -454,13 +463,14 @@
   const bool mayTryAgain = aMessage.m_ran == Ran::kNo || (aMessage.m_code == ResultCode::kUpstreamFailed && isRepeatable);
   if (aMessage.m_code == ResultCode::kOk) {
     if (aMessage.m_length > request->m_delivered.size()) {
-      Reattach(aMessage.m_attempt, request->m_delivered.size());
+      Reattach(aMessage.m_attempt, request->m_delivered.size(), false);
       return;
     }
     Complete(number, aMessage);
     return;
   }
   request->m_current = 0;
+  const Attempt ended = *attempt;
   if (attempt->m_isAttach) {
     DropAttempt(aMessage.m_attempt);
   }
@@ -470,9 +480,7 @@
     Fail(number, aMessage.m_code, aMessage.m_ran);
     return;
   }
-  if (request->m_new.m_dispatch.m_keyed) {
-    request->m_replaces = aFrom;
-  }
+  Unplace(*request, ended);
   request->m_excluded.insert(aFrom);
   Retry(number, aMessage.m_code);
 }
@@ -564,9 +572,7 @@
   const RequestNumber number = attempt->m_request;
   request->m_mayHaveRun = true;
   request->m_excluded.insert(attempt->m_place);
-  if (request->m_new.m_dispatch.m_keyed) {
-    request->m_replaces = attempt->m_place;
-  }
+  Unplace(*request, *attempt);
   // The lost attempt keeps its allotment until its fate is known; of the two
   // charges that may come, only the first counts.
   m_hooks.m_ledger().MarkDoubled(attempt->m_account, attempt->m_key);
@@ -597,7 +603,7 @@
     // Known there: it goes on, or has ended. Unknown: revoked by this question.
     const Request* request = CurrentOf(id);
     FindAttempt(id)->m_state = AttemptState::kAccepted;
-    Reattach(id, request == nullptr ? UINT64_MAX : request->m_delivered.size());
+    Reattach(id, request == nullptr ? UINT64_MAX : request->m_delivered.size(), false);
   }
 }
 
@@ -621,9 +627,7 @@
   }
   request->m_mayHaveRun = true;
   ++m_counters.m_resumed;
-  if (request->m_new.m_dispatch.m_keyed) {
-    request->m_replaces = attempt.m_place;
-  }
+  Unplace(*request, attempt);
   Retry(attempt.m_request, ResultCode::kOutcomeUnknown);
 }
 
@@ -669,7 +673,9 @@
 void
 RequestTable::EndRequest(RequestNumber aNumber)
 {
-  const AttemptId current = Find(aNumber)->m_current;
+  const Request& ending = *Find(aNumber);
+  const AttemptId current = ending.m_current;
+  m_hooks.m_ledger().EndDoubled(ending.m_new.m_dispatch.m_account, ending.m_new.m_dispatch.m_key);
   m_requests.erase(aNumber);
   Attempt* attempt = FindAttempt(current);
   if (attempt == nullptr) {
