--- a/include/bergamotpaddle/Agent/Admission.h
+++ b/include/bergamotpaddle/Agent/Admission.h
@@ -60,8 +60,14 @@
     bool operator<(const Queued& aOther) const;
   };
 
-  bool IsShort(const AdmissionRequest& aRequest) const { return aRequest.m_cost <= m_options.m_shortTokens; }
-  std::set<Queued>& QueueOf(const AdmissionRequest& aRequest) { return IsShort(aRequest) ? m_short : m_long; }
+  bool IsShort(const AdmissionRequest& aRequest) const
+  {
+    return aRequest.m_cost <= m_options.m_shortTokens;
+  }
+  std::set<Queued>& QueueOf(const AdmissionRequest& aRequest)
+  {
+    return IsShort(aRequest) ? m_short : m_long;
+  }
   std::optional<RunId> TakeFrom(std::set<Queued>& aQueue);
 
   AdmissionOptions m_options;
--- a/include/bergamotpaddle/Agent/AgentCore.h
+++ b/include/bergamotpaddle/Agent/AgentCore.h
@@ -20,13 +20,16 @@
   AgentId m_agent;
   std::string m_zone;
   AdmissionOptions m_admission;
-  Duration m_maxWait = std::chrono::seconds(20);      ///< In the queue, before the work is given back.
+  Duration m_maxWait =
+    std::chrono::seconds(20); ///< In the queue, before the work is given back.
   Duration m_answerRetention = std::chrono::seconds(300);
   Duration m_sweepInterval = std::chrono::seconds(1);
   std::size_t m_answerBytes = 48U << 20U;
   std::size_t m_maxClaims = 200'000;
-  Duration m_earlyWait = std::chrono::milliseconds(800); ///< For the dispatch that an attach came ahead of.
-  std::size_t m_maxUnsettled = 20'000; ///< Charges of one holder; beyond, its work is refused.
+  Duration m_earlyWait = std::chrono::milliseconds(
+    800); ///< For the dispatch that an attach came ahead of.
+  std::size_t m_maxUnsettled =
+    20'000; ///< Charges of one holder; beyond, its work is refused.
 };
 
 /// How work ended at the upstream.
@@ -58,15 +61,21 @@
 class AgentCore
 {
 public:
-  AgentCore(AgentOptions aOptions, TimerHooks aTimers, AgentHooks aHooks, Journal& aJournal);
+  AgentCore(AgentOptions aOptions,
+            TimerHooks aTimers,
+            AgentHooks aHooks,
+            Journal& aJournal);
 
   void OnPeerClosed(PeerId aPeer);
   void OnMessage(PeerId aPeer, const Message& aMessage);
 
-  void OnUpstreamData(RunId aRun, const std::string& aBytes, std::uint64_t aTokens);
+  void OnUpstreamData(RunId aRun,
+                      const std::string& aBytes,
+                      std::uint64_t aTokens);
   void OnUpstreamEnd(RunId aRun, const UpstreamOutcome& aOutcome);
 
-  /// The health check's view of the upstream; an unhealthy one gets no new work.
+  /// The health check's view of the upstream; an unhealthy one gets no new
+  /// work.
   void SetUpstreamHealthy(bool aHealthy) { m_upstreamHealthy = aHealthy; }
   /// Configuration or the host list says that the upstream is leaving.
   void SetUpstreamDraining(bool aDraining) { m_upstreamDraining = aDraining; }
@@ -97,7 +106,9 @@
   void Refuse(PeerId aPeer, const Dispatch& aDispatch, ResultCode aCode);
   void Join(PeerId aPeer, const Dispatch& aDispatch, WorkRecord& aRecord);
   void JournalStart(PeerId aPeer, WorkRecord& aRecord);
-  void Journaled(RunId aRun, JournalVerdict aVerdict, const JournalEntry& aEntry);
+  void Journaled(RunId aRun,
+                 JournalVerdict aVerdict,
+                 const JournalEntry& aEntry);
   void AnswerFromJournal(RunId aRun, const JournalEntry& aEntry);
   void GiveBack(RunId aRun, ResultCode aCode);
   void Enqueue(PeerId aPeer, WorkRecord& aRecord);
@@ -112,10 +123,13 @@
   void CancelIfUnread(WorkRecord& aRecord);
   void EndRun(WorkRecord& aRecord, const UpstreamOutcome& aOutcome);
   void BookCharge(const WorkRecord& aRecord, std::uint64_t aTokens);
-  std::uint64_t ChargeOf(const WorkRecord& aRecord, const UpstreamOutcome& aOutcome) const;
+  std::uint64_t ChargeOf(const WorkRecord& aRecord,
+                         const UpstreamOutcome& aOutcome) const;
   void ExpireWaiting();
   void Sweep();
-  void Note(const std::string& aName, const Dispatch& aDispatch, const std::string& aDetail = "") const;
+  void Note(const std::string& aName,
+            const Dispatch& aDispatch,
+            const std::string& aDetail = "") const;
 
   AgentOptions m_options;
   TimerHooks m_timers;
@@ -125,9 +139,11 @@
   ClaimTable m_claims;
   ChargeBook m_charges;
   WorkTable m_work;
-  std::map<PeerId, HolderId> m_holders; ///< The present holder of each linked router.
+  std::map<PeerId, HolderId>
+    m_holders; ///< The present holder of each linked router.
   std::set<RunId> m_waitingRuns;
-  std::map<WorkTable::Name, std::vector<std::pair<PeerId, Attach>>> m_early; ///< Attaches ahead of their dispatch.
+  std::map<WorkTable::Name, std::vector<std::pair<PeerId, Attach>>>
+    m_early; ///< Attaches ahead of their dispatch.
   Instant m_startedAt;
   bool m_upstreamHealthy = true;
   bool m_upstreamDraining = false;
--- a/include/bergamotpaddle/Agent/AgentNode.h
+++ b/include/bergamotpaddle/Agent/AgentNode.h
@@ -28,7 +28,10 @@
 class AgentNode
 {
 public:
-  AgentNode(AgentNodeOptions aOptions, TimerHooks aTimers, AgentNodeHooks aHooks, Journal& aJournal);
+  AgentNode(AgentNodeOptions aOptions,
+            TimerHooks aTimers,
+            AgentNodeHooks aHooks,
+            Journal& aJournal);
 
   void Start() { Beat(); }
 
@@ -43,7 +46,10 @@
   AgentCore& Core() { return m_core; }
   const AgentCore& Core() const { return m_core; }
   const Configuration& Current() const { return *m_config.Current(); }
-  Heartbeat MakeHeartbeat() const { return m_core.MakeHeartbeat(Current().m_version); }
+  Heartbeat MakeHeartbeat() const
+  {
+    return m_core.MakeHeartbeat(Current().m_version);
+  }
 
 private:
   void Configure(const Configuration& aConfiguration);
--- a/include/bergamotpaddle/Agent/Journal.h
+++ b/include/bergamotpaddle/Agent/Journal.h
@@ -21,11 +21,11 @@
 /// A call in the journal.
 struct JournalEntry
 {
-  std::string m_starter;         ///< Agent life that may run it.
+  std::string m_starter; ///< Agent life that may run it.
   std::string m_fingerprint;
   std::uint64_t m_startedAtMs = 0; ///< Wall clock; only for ageing out.
   bool m_hasOutcome = false;
-  bool m_withdrawn = false;      ///< Proved not to have run: the start is taken out.
+  bool m_withdrawn = false; ///< Proved not to have run: the start is taken out.
   int m_httpStatus = 0;
   std::string m_contentType;
   std::string m_body;
@@ -46,9 +46,10 @@
 /// Bounds of the journal.
 struct JournalOptions
 {
-  std::size_t m_slots = 16;                    ///< Values for each service.
-  std::size_t m_maxEntries = 2000;             ///< In a slot.
-  std::size_t m_maxBodyBytes = 256;            ///< Of an outcome; a longer body is not kept.
+  std::size_t m_slots = 16;        ///< Values for each service.
+  std::size_t m_maxEntries = 2000; ///< In a slot.
+  std::size_t m_maxBodyBytes =
+    256; ///< Of an outcome; a longer body is not kept.
   std::chrono::hours m_retention{ 24 };
 };
 
@@ -57,7 +58,8 @@
 {
 public:
   using StartHook = std::function<void(JournalVerdict, JournalEntry)>;
-  using WallClock = std::function<std::uint64_t()>; ///< Milliseconds since the epoch.
+  using WallClock =
+    std::function<std::uint64_t()>; ///< Milliseconds since the epoch.
 
   Journal(JournalOptions aOptions,
           AgentId aAgent,
@@ -73,12 +75,18 @@
              const std::string& aFingerprint,
              StartHook aDone);
 
-  /// Records the outcome of a call that this life started; tried until it is in.
-  void Finish(const std::string& aService, const AccountId& aAccount, const RequestKey& aKey, JournalEntry aOutcome);
+  /// Records the outcome of a call that this life started; tried until it is
+  /// in.
+  void Finish(const std::string& aService,
+              const AccountId& aAccount,
+              const RequestKey& aKey,
+              JournalEntry aOutcome);
 
   /// Takes out the start of a call that was proved not to have reached the
   /// service; until that is durable the key stays "unknown".
-  void Withdraw(const std::string& aService, const AccountId& aAccount, const RequestKey& aKey);
+  void Withdraw(const std::string& aService,
+                const AccountId& aAccount,
+                const RequestKey& aKey);
 
   /// Outcomes that are not durable yet.
   std::size_t PendingOutcomes() const;
@@ -103,13 +111,15 @@
   using Entries = std::map<std::string, JournalEntry>;
   using Verdicts = std::vector<std::pair<JournalVerdict, JournalEntry>>;
 
-  std::string SlotKey(const std::string& aService, const std::string& aName) const;
+  std::string SlotKey(const std::string& aService,
+                      const std::string& aName) const;
   void Pump(const std::string& aSlotKey);
   TransformResult Apply(const std::optional<std::string>& aPresent,
                         const std::vector<PendingStart>& aStarts,
                         const std::map<std::string, JournalEntry>& aOutcomes,
                         Verdicts& aVerdicts);
-  std::pair<JournalVerdict, JournalEntry> StartIn(Entries& aEntries, const PendingStart& aStart);
+  std::pair<JournalVerdict, JournalEntry> StartIn(Entries& aEntries,
+                                                  const PendingStart& aStart);
   void Prune(Entries& aEntries) const;
   void Written(const std::string& aSlotKey,
                std::vector<PendingStart> aStarts,
--- a/include/bergamotpaddle/Agent/WorkTable.h
+++ b/include/bergamotpaddle/Agent/WorkTable.h
@@ -22,7 +22,7 @@
   kWaiting,    ///< Accepted, no slot yet.
   kRunning,
   kFinished,
-  kRevoked,    ///< Known only as "must not start".
+  kRevoked, ///< Known only as "must not start".
 };
 
 /// Who reads an answer.
--- a/include/bergamotpaddle/Budget/Closing.h
+++ b/include/bergamotpaddle/Budget/Closing.h
@@ -12,7 +12,7 @@
 {
   AccountId m_account;
   HolderId m_holder;
-  std::uint64_t m_charged = 0;            ///< All that the holder will ever charge.
+  std::uint64_t m_charged = 0; ///< All that the holder will ever charge.
   std::optional<std::uint64_t> m_initial; ///< Prepaid by configuration.
 };
 
--- a/include/bergamotpaddle/Budget/Ledger.h
+++ b/include/bergamotpaddle/Budget/Ledger.h
@@ -22,9 +22,12 @@
   Duration m_flushInterval = std::chrono::milliseconds(1000);
   Duration m_spareSweepInterval = std::chrono::seconds(2);
   Duration m_idleBeforeReturn = std::chrono::seconds(5);
-  Duration m_exhaustedPause = std::chrono::milliseconds(100); ///< Between looks at an exhausted budget.
-  Duration m_prefetchWindow = std::chrono::seconds(4);   ///< Demand that one draw covers ahead.
-  std::uint64_t m_shareDivisor = 2; ///< A draw ahead takes at most available / (divisor * holders).
+  Duration m_exhaustedPause =
+    std::chrono::milliseconds(100); ///< Between looks at an exhausted budget.
+  Duration m_prefetchWindow =
+    std::chrono::seconds(4); ///< Demand that one draw covers ahead.
+  std::uint64_t m_shareDivisor =
+    2; ///< A draw ahead takes at most available / (divisor * holders).
 };
 
 /// What a ledger asks of its router.
@@ -35,7 +38,11 @@
   /// Tokens that the configuration prepays when the budget has no value yet.
   std::function<std::optional<std::uint64_t>(const AccountId&)> m_initialBudget;
   /// Asks other holders to return spare credit; answers whether all did.
-  std::function<void(const AccountId&, std::uint64_t aTokens, std::vector<HolderId>, AskedHook)> m_askHolders;
+  std::function<void(const AccountId&,
+                     std::uint64_t aTokens,
+                     std::vector<HolderId>,
+                     AskedHook)>
+    m_askHolders;
   /// Charges of this agent are durable up to here.
   std::function<void(const AgentId&, std::uint64_t aThrough)> m_settled;
   /// A recovery has sealed this holder: nothing more may be spent under it.
@@ -58,7 +65,11 @@
 public:
   using AllotHook = std::function<void(ResultCode)>;
 
-  Ledger(LedgerOptions aOptions, HolderId aHolder, KeyValueHooks aKeyValue, TimerHooks aTimers, LedgerHooks aHooks);
+  Ledger(LedgerOptions aOptions,
+         HolderId aHolder,
+         KeyValueHooks aKeyValue,
+         TimerHooks aTimers,
+         LedgerHooks aHooks);
   ~Ledger();
   Ledger(const Ledger&) = delete;
   Ledger& operator=(const Ledger&) = delete;
@@ -132,7 +143,7 @@
     Instant m_lastDemand{};
     Instant m_demandSince{};
     std::uint64_t m_demand = 0; ///< Tokens allotted since m_demandSince.
-    Instant m_nextDraw{}; ///< Requests wait until then for a fresh look.
+    Instant m_nextDraw{};       ///< Requests wait until then for a fresh look.
 
     std::uint64_t Committed() const { return m_allotted + m_charged; }
     std::uint64_t Free() const { return m_drawn - Committed(); }
@@ -156,15 +167,23 @@
 
   void StartDraw(const AccountId& aAccount);
   void StartFirstDraw(const AccountId& aAccount, int aTries);
-  void FirstDrawWrite(const AccountId& aAccount, const KeyValueEntry& aRead, int aTries);
-  TransformResult DrawTransform(const AccountId& aAccount, const std::optional<std::string>& aPresent);
-  std::uint64_t WantedDraw(const Account& aState, std::uint64_t aMine, std::uint64_t aAvailable, std::size_t aHolders) const;
-  void DrawDone(const AccountId& aAccount, const absl::StatusOr<KeyValueEntry>& aEntry);
+  void FirstDrawWrite(const AccountId& aAccount,
+                      const KeyValueEntry& aRead,
+                      int aTries);
+  TransformResult DrawTransform(const AccountId& aAccount,
+                                const std::optional<std::string>& aPresent);
+  std::uint64_t WantedDraw(const Account& aState,
+                           std::uint64_t aMine,
+                           std::uint64_t aAvailable,
+                           std::size_t aHolders) const;
+  void DrawDone(const AccountId& aAccount,
+                const absl::StatusOr<KeyValueEntry>& aEntry);
   void SettleUnmet(const AccountId& aAccount, const BudgetValue& aBudget);
   void AskHolders(const AccountId& aAccount, std::vector<HolderId> aOthers);
 
   void StartReturn(const AccountId& aAccount);
-  void ReturnDone(const AccountId& aAccount, const absl::StatusOr<KeyValueEntry>& aEntry);
+  void ReturnDone(const AccountId& aAccount,
+                  const absl::StatusOr<KeyValueEntry>& aEntry);
   void SweepSpare();
   void FlushLoop();
 
@@ -173,7 +192,8 @@
   void ForgetAttempt(AttemptId aAttempt);
   void ForgetDoubledIfOver(const AccountId& aAccount, const RequestKey& aKey);
   std::uint64_t BillOf(const Charge& aCharge, std::uint64_t aAllotment);
-  void CloseNextAccount(std::vector<AccountId> aLeft, std::function<void()> aDone);
+  void CloseNextAccount(std::vector<AccountId> aLeft,
+                        std::function<void()> aDone);
   void After(Duration aDelay, std::function<void()> aTask);
 
   LedgerOptions m_options;
@@ -187,7 +207,8 @@
   std::map<AgentId, std::uint64_t> m_through;
   std::map<AgentId, std::uint64_t> m_durableThrough;
   std::map<std::string, std::uint64_t> m_doubled;
-  std::set<std::string> m_doubledOpen; ///< Of requests that may still send attempts.
+  std::set<std::string>
+    m_doubledOpen; ///< Of requests that may still send attempts.
   bool m_dirty = false;
   bool m_retiring = false;
   bool m_announcedSeal = false;
--- a/include/bergamotpaddle/Budget/LedgerWriter.h
+++ b/include/bergamotpaddle/Budget/LedgerWriter.h
@@ -14,9 +14,10 @@
 /// What the writer asks of its ledger.
 struct LedgerWriterHooks
 {
-  std::function<LedgerValue()> m_snapshot;                 ///< The value to write now.
-  std::function<void(const LedgerValue&)> m_durable;       ///< This value is in the service.
-  std::function<void()> m_sealed;                          ///< A recovery owns the key now.
+  std::function<LedgerValue()> m_snapshot; ///< The value to write now.
+  std::function<void(const LedgerValue&)>
+    m_durable;                    ///< This value is in the service.
+  std::function<void()> m_sealed; ///< A recovery owns the key now.
 };
 
 /// One write at a time; requests that come in meanwhile share the next one.
@@ -25,10 +26,14 @@
 public:
   using DoneHook = std::function<void(absl::Status)>;
 
-  LedgerWriter(HolderId aHolder, KeyValueHooks aKeyValue, TimerHooks aTimers, LedgerWriterHooks aHooks);
+  LedgerWriter(HolderId aHolder,
+               KeyValueHooks aKeyValue,
+               TimerHooks aTimers,
+               LedgerWriterHooks aHooks);
 
   /// Writes a snapshot taken after this call. A success proves that the holder
-  /// was not sealed at some moment after this call. `FailedPrecondition`: it is.
+  /// was not sealed at some moment after this call. `FailedPrecondition`: it
+  /// is.
   void Flush(DoneHook aDone);
 
   bool IsSealed() const { return m_sealed; }
--- a/include/bergamotpaddle/Budget/Recovery.h
+++ b/include/bergamotpaddle/Budget/Recovery.h
@@ -64,11 +64,11 @@
   {
     bool m_sealed = false; ///< Our read or write of the ledger shows it sealed.
     bool m_writing = false;
-    LedgerValue m_ledger;  ///< As last read or written.
+    LedgerValue m_ledger; ///< As last read or written.
     std::map<UpstreamId, AgentState> m_agents;
     std::map<UpstreamId, SealReply> m_collected; ///< Charges to merge.
-    std::set<AccountId> m_closing;  ///< Budget update started.
-    std::set<AccountId> m_released; ///< Budget update done.
+    std::set<AccountId> m_closing;               ///< Budget update started.
+    std::set<AccountId> m_released;              ///< Budget update done.
   };
 
   void Seal(const HolderId& aHolder);
--- a/include/bergamotpaddle/Budget/Values.h
+++ b/include/bergamotpaddle/Budget/Values.h
@@ -16,8 +16,9 @@
 struct BudgetValue
 {
   std::map<std::string, std::uint64_t> m_topUps; ///< By top-up id.
-  std::map<HolderId, std::uint64_t> m_draws;     ///< What each holder may spend in all.
-  std::uint64_t m_charged = 0;                   ///< Spent by holders that are closed.
+  std::map<HolderId, std::uint64_t>
+    m_draws;                   ///< What each holder may spend in all.
+  std::uint64_t m_charged = 0; ///< Spent by holders that are closed.
   auto operator<=>(const BudgetValue&) const = default;
 
   std::uint64_t Prepaid() const;
@@ -32,11 +33,14 @@
 /// The value of `ledger/<holder>`.
 struct LedgerValue
 {
-  bool m_sealed = false;                         ///< The holder may write no more.
-  std::map<AccountId, std::uint64_t> m_charged;  ///< Every account opened, with its charges so far.
-  std::map<AgentId, std::uint64_t> m_through;    ///< Sequence number settled, by agent.
-  std::map<std::string, std::uint64_t> m_doubled; ///< Charge so far of requests with two attempts.
-  std::set<AccountId> m_closed;                  ///< Accounts that a recovery has closed.
+  bool m_sealed = false; ///< The holder may write no more.
+  std::map<AccountId, std::uint64_t>
+    m_charged; ///< Every account opened, with its charges so far.
+  std::map<AgentId, std::uint64_t>
+    m_through; ///< Sequence number settled, by agent.
+  std::map<std::string, std::uint64_t>
+    m_doubled; ///< Charge so far of requests with two attempts.
+  std::set<AccountId> m_closed; ///< Accounts that a recovery has closed.
   auto operator<=>(const LedgerValue&) const = default;
 
   std::string ToJson() const;
--- a/include/bergamotpaddle/Config/Checks.h
+++ b/include/bergamotpaddle/Config/Checks.h
@@ -23,7 +23,6 @@
   std::string Str() const;
 };
 
-
 /// A configuration merged from files, or what is wrong with them.
 struct MergedConfiguration
 {
@@ -34,7 +33,8 @@
 /// Merges an overlay into a base by RFC 7396 and checks the result. An empty
 /// \p aOverlayPath stands for no overlay.
 MergedConfiguration
-LoadConfiguration(const std::string& aBasePath, const std::string& aOverlayPath);
+LoadConfiguration(const std::string& aBasePath,
+                  const std::string& aOverlayPath);
 
 /// Checks a configuration's content that is already merged.
 std::vector<Finding>
@@ -50,7 +50,9 @@
 
 /// Findings of \p aValue against \p aSchema.
 std::vector<Finding>
-CheckSchema(const nlohmann::json& aValue, const char* aSchema, const std::string& aFile);
+CheckSchema(const nlohmann::json& aValue,
+            const char* aSchema,
+            const std::string& aFile);
 
 /// Reads and parses a JSON file.
 absl::StatusOr<nlohmann::json>
--- a/include/bergamotpaddle/Config/ConfigWatcher.h
+++ b/include/bergamotpaddle/Config/ConfigWatcher.h
@@ -21,7 +21,8 @@
 
 private:
   void Wait(std::uint64_t aRevision);
-  void Answered(std::uint64_t aAsked, const absl::StatusOr<KeyValueEntry>& aEntry);
+  void Answered(std::uint64_t aAsked,
+                const absl::StatusOr<KeyValueEntry>& aEntry);
 
   KeyValueHooks m_keyValue;
   TimerHooks m_timers;
--- a/include/bergamotpaddle/Config/Configuration.h
+++ b/include/bergamotpaddle/Config/Configuration.h
@@ -29,7 +29,7 @@
   std::string m_pool;
   std::string m_agentAddress; ///< "IP:port".
   std::string m_zone;
-  bool m_drained = false;     ///< By itself or with its pool.
+  bool m_drained = false; ///< By itself or with its pool.
   auto operator<=>(const UpstreamConfig&) const = default;
 };
 
@@ -66,7 +66,8 @@
   std::vector<ServiceCallConfig> m_calls;
 
   /// The configured call, or nullptr.
-  const ServiceCallConfig* Find(const std::string& aMethod, const std::string& aPath) const;
+  const ServiceCallConfig* Find(const std::string& aMethod,
+                                const std::string& aPath) const;
   auto operator<=>(const ServiceConfig&) const = default;
 };
 
@@ -87,7 +88,8 @@
   std::string m_changeId;
   std::string m_author;
   std::map<AccountId, AccountConfig> m_accounts;
-  std::map<std::string, AccountId> m_accountsByKeyHash; ///< SHA-256 of an API key, hexadecimal.
+  std::map<std::string, AccountId>
+    m_accountsByKeyHash; ///< SHA-256 of an API key, hexadecimal.
   std::map<std::string, PoolConfig> m_pools;
   std::map<UpstreamId, UpstreamConfig> m_upstreams;
   std::map<std::string, ModelConfig> m_models;
@@ -96,7 +98,8 @@
   auto operator<=>(const Configuration&) const = default;
 
   /// Parses the value of `config/current`, which has passed its checks.
-  static absl::StatusOr<Configuration> FromDocument(const std::string& aDocument);
+  static absl::StatusOr<Configuration> FromDocument(
+    const std::string& aDocument);
 };
 
 /// The key of the configuration in the key-value service.
--- a/include/bergamotpaddle/Daemon/CallerApi.h
+++ b/include/bergamotpaddle/Daemon/CallerApi.h
@@ -15,7 +15,9 @@
 public:
   /// \p aBootId distinguishes requests without a caller's key from those of
   /// other routers and lives. \p aPost runs a closure on the event loop.
-  CallerApi(RouterCore& aRouter, std::string aBootId, std::function<void(std::function<void()>)> aPost);
+  CallerApi(RouterCore& aRouter,
+            std::string aBootId,
+            std::function<void(std::function<void()>)> aPost);
 
   /// Whether \p aRequest is for this interface.
   static bool Serves(const HttpRequest& aRequest);
@@ -27,8 +29,12 @@
 
 private:
   void HandleModels(const HttpResponderPtr& aResponder) const;
-  void HandleChat(const HttpRequest& aRequest, const AccountId& aAccount, const HttpResponderPtr& aResponder);
-  void HandleService(const HttpRequest& aRequest, const AccountId& aAccount, const HttpResponderPtr& aResponder);
+  void HandleChat(const HttpRequest& aRequest,
+                  const AccountId& aAccount,
+                  const HttpResponderPtr& aResponder);
+  void HandleService(const HttpRequest& aRequest,
+                     const AccountId& aAccount,
+                     const HttpResponderPtr& aResponder);
   void Begin(NewRequest aRequest, const HttpResponderPtr& aResponder);
   /// Puts the caller's key, or one of our own, into \p aDispatch; false if the
   /// header is not valid.
@@ -43,6 +49,9 @@
 
 /// Writes the JSON error body of a failure.
 void
-SendFailure(const HttpResponderPtr& aResponder, ResultCode aCode, Ran aRan, const std::string& aMessage = "");
+SendFailure(const HttpResponderPtr& aResponder,
+            ResultCode aCode,
+            Ran aRan,
+            const std::string& aMessage = "");
 
 } // namespace bergamotpaddle
--- a/include/bergamotpaddle/Daemon/ProcessShell.h
+++ b/include/bergamotpaddle/Daemon/ProcessShell.h
@@ -74,10 +74,13 @@
 private:
   void WatchSignals();
   void OnSignal();
-  void HandleHttp(const HttpRequest& aRequest, const HttpResponderPtr& aResponder);
-  void HandleAdmin(const HttpRequest& aRequest, const HttpResponderPtr& aResponder);
+  void HandleHttp(const HttpRequest& aRequest,
+                  const HttpResponderPtr& aResponder);
+  void HandleAdmin(const HttpRequest& aRequest,
+                   const HttpResponderPtr& aResponder);
   bool IsOperator(const HttpRequest& aRequest) const;
-  void SendTimeline(const HttpRequest& aRequest, const HttpResponderPtr& aResponder);
+  void SendTimeline(const HttpRequest& aRequest,
+                    const HttpResponderPtr& aResponder);
   std::string Metrics();
   void OnFrame(LinkId aLink, const std::string& aFrame);
 
--- a/include/bergamotpaddle/Kernel/Kernel.h
+++ b/include/bergamotpaddle/Kernel/Kernel.h
@@ -38,7 +38,8 @@
   Service& Add(std::string aName, Arguments&&... aArguments)
   {
     assert(!m_services.contains(aName) && "a service name is registered once");
-    auto service = std::make_shared<Service>(std::forward<Arguments>(aArguments)...);
+    auto service =
+      std::make_shared<Service>(std::forward<Arguments>(aArguments)...);
     m_services.emplace(std::move(aName), std::any(service.get()));
     m_order.push_back(service);
     return *service;
@@ -49,7 +50,8 @@
   Service& Find(std::string_view aName)
   {
     auto found = m_services.find(aName);
-    assert(found != m_services.end() && "the service must be registered before it is used");
+    assert(found != m_services.end() &&
+           "the service must be registered before it is used");
     auto* service = std::any_cast<Service*>(&found->second);
     assert(service != nullptr && "the service must be of the type asked for");
     return **service;
--- a/include/bergamotpaddle/Logging/Log.h
+++ b/include/bergamotpaddle/Logging/Log.h
@@ -33,7 +33,9 @@
   Log(const Log&) = delete;
   Log& operator=(const Log&) = delete;
 
-  void Write(LogLevel aLevel, const std::string& aEvent, const LogFields& aFields = {}) const;
+  void Write(LogLevel aLevel,
+             const std::string& aEvent,
+             const LogFields& aFields = {}) const;
 
 private:
   std::string m_process;
--- a/include/bergamotpaddle/Metrics/MetricsText.h
+++ b/include/bergamotpaddle/Metrics/MetricsText.h
@@ -18,10 +18,15 @@
 public:
   /// Opens a family; samples that follow belong to it. \p aType is "counter"
   /// or "gauge".
-  MetricsText& Family(const std::string& aName, const std::string& aType, const std::string& aHelp);
+  MetricsText& Family(const std::string& aName,
+                      const std::string& aType,
+                      const std::string& aHelp);
   MetricsText& Sample(double aValue, const MetricLabels& aLabels = {});
   /// A family with one sample.
-  MetricsText& Single(const std::string& aName, const std::string& aType, const std::string& aHelp, double aValue);
+  MetricsText& Single(const std::string& aName,
+                      const std::string& aType,
+                      const std::string& aHelp,
+                      double aValue);
 
   const std::string& Text() const { return m_text; }
 
--- a/include/bergamotpaddle/Net/FrameLink.h
+++ b/include/bergamotpaddle/Net/FrameLink.h
@@ -51,7 +51,7 @@
 
   /// Queues a frame. False if the link is gone or more than the bound of
   /// bytes wait on it, in which case the link is closed.
-  bool Send(LinkId aLink, std::string aFrame);
+  bool Send(LinkId aLink, const std::string& aFrame);
 
   /// Closes a link; m_closed follows.
   void Close(LinkId aLink);
--- a/include/bergamotpaddle/Net/HttpClient.h
+++ b/include/bergamotpaddle/Net/HttpClient.h
@@ -30,10 +30,11 @@
 /// How a call ended.
 struct HttpReply
 {
-  int m_status = 0;           ///< 0: no whole answer came.
-  std::string m_body;         ///< Empty if the chunks were handed on.
-  std::string m_error;        ///< Why no whole answer came.
-  bool m_neverSent = false;   ///< Proved: the other end cannot have seen the call.
+  int m_status = 0;    ///< 0: no whole answer came.
+  std::string m_body;  ///< Empty if the chunks were handed on.
+  std::string m_error; ///< Why no whole answer came.
+  bool m_neverSent =
+    false; ///< Proved: the other end cannot have seen the call.
 
   bool Answered() const { return m_status != 0; }
 };
@@ -56,7 +57,9 @@
 
   /// Starts \p aCall. With \p aOnChunk, pieces of a body with status 200 go
   /// there as they come in.
-  HttpCallId Start(HttpCall aCall, DoneHook aOnDone, ChunkHook aOnChunk = nullptr);
+  HttpCallId Start(HttpCall aCall,
+                   DoneHook aOnDone,
+                   ChunkHook aOnChunk = nullptr);
 
   /// Ends a call; its done hook still runs, with an error.
   void Cancel(HttpCallId aId);
--- a/include/bergamotpaddle/Net/HttpServer.h
+++ b/include/bergamotpaddle/Net/HttpServer.h
@@ -41,9 +41,14 @@
   virtual ~HttpResponder() = default;
 
   /// Sends a whole answer.
-  virtual void Send(int aStatus, std::string aBody, std::string aContentType, HttpHeaders aHeaders) = 0;
+  virtual void Send(int aStatus,
+                    std::string aBody,
+                    std::string aContentType,
+                    HttpHeaders aHeaders) = 0;
   /// Opens a streamed answer.
-  virtual void Start(int aStatus, std::string aContentType, HttpHeaders aHeaders) = 0;
+  virtual void Start(int aStatus,
+                     std::string aContentType,
+                     HttpHeaders aHeaders) = 0;
   /// Sends a piece of a streamed answer.
   virtual void Write(std::string aChunk) = 0;
   /// Ends a streamed answer.
@@ -67,11 +72,15 @@
 struct HttpServerOptions
 {
   std::string m_address = "127.0.0.1";
-  std::uint16_t m_port = 0;                           ///< 0: any free port.
-  std::size_t m_workers = 2;                          ///< Reactor threads.
-  std::size_t m_maxRequestBytes = 1U << 20U;          ///< Head and body together.
-  std::chrono::milliseconds m_requestTimeout{ 10'000 }; ///< From first to last byte of a request.
-  std::chrono::milliseconds m_idleTimeout{ 60'000 };  ///< Of a connection with nothing under way.
+  std::uint16_t m_port = 0;                  ///< 0: any free port.
+  std::size_t m_workers = 2;                 ///< Reactor threads.
+  std::size_t m_maxRequestBytes = 1U << 20U; ///< Head and body together.
+  std::chrono::milliseconds m_requestTimeout{
+    10'000
+  }; ///< From first to last byte of a request.
+  std::chrono::milliseconds m_idleTimeout{
+    60'000
+  }; ///< Of a connection with nothing under way.
 };
 
 /// Listens and hands each request to one handler.
--- a/include/bergamotpaddle/Operator/Commands.h
+++ b/include/bergamotpaddle/Operator/Commands.h
@@ -1,7 +1,7 @@
 /// \file
-/// The commands of `bergamotpaddlectl`. Each returns an exit code: 0 done, 1 the
-/// fleet or the platform could not do it, 2 wrong usage or settings, 3 conflict
-/// with another operator, 4 not in force everywhere in time.
+/// The commands of `bergamotpaddlectl`. Each returns an exit code: 0 done, 1
+/// the fleet or the platform could not do it, 2 wrong usage or settings, 3
+/// conflict with another operator, 4 not in force everywhere in time.
 #pragma once
 
 #include "bergamotpaddle/Operator/Session.h"
@@ -21,11 +21,11 @@
 /// Options that several commands share.
 struct CommandOptions
 {
-  bool m_json = false;         ///< Print JSON rather than tables.
-  std::string m_base;          ///< Path of a base file.
-  std::string m_overlay;       ///< Path of a site's overlay, or empty.
+  bool m_json = false;   ///< Print JSON rather than tables.
+  std::string m_base;    ///< Path of a base file.
+  std::string m_overlay; ///< Path of a site's overlay, or empty.
   std::string m_author;
-  std::string m_changeId;      ///< Empty: a new one.
+  std::string m_changeId; ///< Empty: a new one.
   std::string m_comment;
   std::string m_topUpId;
   bool m_wait = false;
@@ -37,17 +37,25 @@
 };
 
 ExitCode
-RunConfigCommand(Session& aSession, const std::vector<std::string>& aWords, const CommandOptions& aOptions);
+RunConfigCommand(Session& aSession,
+                 const std::vector<std::string>& aWords,
+                 const CommandOptions& aOptions);
 
 ExitCode
-RunAccountCommand(Session& aSession, const std::vector<std::string>& aWords, const CommandOptions& aOptions);
+RunAccountCommand(Session& aSession,
+                  const std::vector<std::string>& aWords,
+                  const CommandOptions& aOptions);
 
 ExitCode
-RunBudgetCommand(Session& aSession, const std::vector<std::string>& aWords, const CommandOptions& aOptions);
+RunBudgetCommand(Session& aSession,
+                 const std::vector<std::string>& aWords,
+                 const CommandOptions& aOptions);
 
 /// `pool` and `upstream` with `drain` and `restore`.
 ExitCode
-RunDrainCommand(Session& aSession, const std::vector<std::string>& aWords, const CommandOptions& aOptions);
+RunDrainCommand(Session& aSession,
+                const std::vector<std::string>& aWords,
+                const CommandOptions& aOptions);
 
 ExitCode
 RunStatusCommand(Session& aSession, const CommandOptions& aOptions);
--- a/include/bergamotpaddle/Operator/ConfigChange.h
+++ b/include/bergamotpaddle/Operator/ConfigChange.h
@@ -16,7 +16,8 @@
   std::uint64_t m_version = 0; ///< 0: there is none yet.
   std::string m_changeId;
   std::string m_author;
-  std::uint64_t m_timeMs = 0;  ///< Wall clock of the operator's machine, for display.
+  std::uint64_t m_timeMs =
+    0; ///< Wall clock of the operator's machine, for display.
   std::string m_comment;
   nlohmann::json m_content;
 
--- a/include/bergamotpaddle/Operator/Session.h
+++ b/include/bergamotpaddle/Operator/Session.h
@@ -32,7 +32,8 @@
   {
     std::optional<Result> result;
     m_loop = std::make_unique<EventLoop>();
-    HttpClient client([this](std::function<void()> aTask) { m_loop->Post(std::move(aTask)); });
+    HttpClient client(
+      [this](std::function<void()> aTask) { m_loop->Post(std::move(aTask)); });
     m_client = &client;
     m_keyValue = MakeHttpKeyValue(client, m_settings.m_kv, m_counts);
     m_loop->Post([&] {
@@ -50,7 +51,8 @@
   TimerHooks Timers() { return m_loop->Timers(); }
 
   KeyValueEntry Get(const std::string& aKey, absl::Status& aStatus);
-  std::map<std::string, KeyValueEntry> List(const std::string& aPrefix, absl::Status& aStatus);
+  std::map<std::string, KeyValueEntry> List(const std::string& aPrefix,
+                                            absl::Status& aStatus);
 
   /// `GET` of an operator path at every process, in the order of the settings;
   /// null for one that does not answer.
--- a/include/bergamotpaddle/Platform/HttpKeyValue.h
+++ b/include/bergamotpaddle/Platform/HttpKeyValue.h
@@ -1,5 +1,6 @@
 /// \file
-/// The key-value service over HTTP with JSON bodies, as docs/PLATFORM.md has it.
+/// The key-value service over HTTP with JSON bodies, as docs/PLATFORM.md has
+/// it.
 #pragma once
 
 #include "bergamotpaddle/Net/HttpClient.h"
@@ -19,6 +20,8 @@
 /// Hooks that call the service at \p aBaseUrl ("http://127.0.0.1:7000").
 /// \p aClient and \p aCounts must outlive them.
 KeyValueHooks
-MakeHttpKeyValue(HttpClient& aClient, const std::string& aBaseUrl, KeyValueCallCounts& aCounts);
+MakeHttpKeyValue(HttpClient& aClient,
+                 const std::string& aBaseUrl,
+                 KeyValueCallCounts& aCounts);
 
 } // namespace bergamotpaddle
--- a/include/bergamotpaddle/Platform/KeyValue.h
+++ b/include/bergamotpaddle/Platform/KeyValue.h
@@ -29,18 +29,30 @@
 {
   using EntryHook = std::function<void(absl::StatusOr<KeyValueEntry>)>;
   using RevisionHook = std::function<void(absl::StatusOr<std::uint64_t>)>;
-  using ListHook = std::function<void(absl::StatusOr<std::map<std::string, KeyValueEntry>>)>;
+  using ListHook =
+    std::function<void(absl::StatusOr<std::map<std::string, KeyValueEntry>>)>;
 
   std::function<void(std::string aKey, EntryHook)> m_get;
-  /// Writes if the key is at \p aRevision (0: does not exist); no value removes.
-  std::function<void(std::string aKey, std::uint64_t aRevision, std::optional<std::string> aValue, RevisionHook)>
+  /// Writes if the key is at \p aRevision (0: does not exist); no value
+  /// removes.
+  std::function<void(std::string aKey,
+                     std::uint64_t aRevision,
+                     std::optional<std::string> aValue,
+                     RevisionHook)>
     m_compareAndSwap;
-  /// Answers once the key is past \p aRevision, or with what there is after a while.
-  std::function<void(std::string aKey, std::uint64_t aRevision, EntryHook)> m_watch;
+  /// Answers once the key is past \p aRevision, or with what there is after a
+  /// while.
+  std::function<void(std::string aKey, std::uint64_t aRevision, EntryHook)>
+    m_watch;
   /// All keys that begin with a prefix.
   std::function<void(std::string aPrefix, ListHook)> m_list;
-  /// Keeps \p aKey in existence for a time from now on; without renewal it goes.
-  std::function<void(std::string aKey, std::string aValue, Duration aTimeToLive, RevisionHook)> m_keepAlive;
+  /// Keeps \p aKey in existence for a time from now on; without renewal it
+  /// goes.
+  std::function<void(std::string aKey,
+                     std::string aValue,
+                     Duration aTimeToLive,
+                     RevisionHook)>
+    m_keepAlive;
 };
 
 /// What a transform wants done with the value it was shown.
@@ -56,9 +68,15 @@
   std::string m_value;
   absl::Status m_status;
 
-  static TransformResult Write(std::string aValue) { return { Action::kWrite, std::move(aValue), {} }; }
+  static TransformResult Write(std::string aValue)
+  {
+    return { Action::kWrite, std::move(aValue), {} };
+  }
   static TransformResult Remove() { return { Action::kRemove, {}, {} }; }
-  static TransformResult Stop(absl::Status aStatus) { return { Action::kStop, {}, std::move(aStatus) }; }
+  static TransformResult Stop(absl::Status aStatus)
+  {
+    return { Action::kStop, {}, std::move(aStatus) };
+  }
 };
 
 /// How long an update is tried.
@@ -66,7 +84,8 @@
 {
   Duration m_firstBackoff = std::chrono::milliseconds(50);
   Duration m_greatestBackoff = std::chrono::seconds(2);
-  int m_maxUnclear = 3; ///< Unclear outcomes in a row before giving up; 0: never.
+  int m_maxUnclear =
+    3; ///< Unclear outcomes in a row before giving up; 0: never.
 };
 
 /// Reads, transforms and writes \p aKey until one compare-and-swap succeeds
@@ -82,11 +101,12 @@
 /// Ok: the entry read); `Unavailable` if the update gave up, in which case an
 /// older write may still take effect.
 void
-Update(const KeyValueHooks& aKeyValue,
-       const TimerHooks& aTimers,
-       const std::string& aKey,
-       std::function<TransformResult(const std::optional<std::string>&)> aTransform,
-       std::function<void(absl::StatusOr<KeyValueEntry>)> aDone,
-       UpdateOptions aOptions = {});
+Update(
+  const KeyValueHooks& aKeyValue,
+  const TimerHooks& aTimers,
+  const std::string& aKey,
+  std::function<TransformResult(const std::optional<std::string>&)> aTransform,
+  std::function<void(absl::StatusOr<KeyValueEntry>)> aDone,
+  UpdateOptions aOptions = {});
 
 } // namespace bergamotpaddle
--- a/include/bergamotpaddle/Router/AgentDirectory.h
+++ b/include/bergamotpaddle/Router/AgentDirectory.h
@@ -17,8 +17,9 @@
 /// Paces of the links.
 struct DirectoryOptions
 {
-  Duration m_deadAfter = std::chrono::milliseconds(1500);  ///< Of silence.
-  Duration m_redialAfter = std::chrono::milliseconds(300); ///< A failed or lost link.
+  Duration m_deadAfter = std::chrono::milliseconds(1500); ///< Of silence.
+  Duration m_redialAfter =
+    std::chrono::milliseconds(300); ///< A failed or lost link.
 };
 
 /// What a router sees of one upstream. Times in microseconds.
@@ -31,16 +32,18 @@
   Heartbeat m_heartbeat; ///< The last one.
   Instant m_lastHeard{};
   Instant m_nextDial{};
-  bool m_leaving = false;         ///< The host list says so.
+  bool m_leaving = false;          ///< The host list says so.
   std::uint32_t m_outstanding = 0; ///< Own attempts that have not ended.
-  double m_firstByteMicros = 0;   ///< Moving average of the time to the first byte.
-  double m_gapMicros = 0;         ///< Moving average of the time between pieces.
+  double m_firstByteMicros =
+    0;                    ///< Moving average of the time to the first byte.
+  double m_gapMicros = 0; ///< Moving average of the time between pieces.
   Instant m_upSince{};
 
   /// Whether new work may go there.
   bool MayTakeWork() const
   {
-    return m_isUp && !m_leaving && !m_config.m_drained && !m_heartbeat.m_draining && m_heartbeat.m_upstreamHealthy;
+    return m_isUp && !m_leaving && !m_config.m_drained &&
+           !m_heartbeat.m_draining && m_heartbeat.m_upstreamHealthy;
   }
 };
 
@@ -49,7 +52,8 @@
 {
   std::function<PeerId(const std::string& aAddress)> m_dial;
   std::function<void(PeerId)> m_close;
-  /// An agent is there; \p aIsSameLife tells whether it is the one known before.
+  /// An agent is there; \p aIsSameLife tells whether it is the one known
+  /// before.
   std::function<void(const UpstreamId&, bool aIsSameLife)> m_up;
   /// The configuration has given an upstream up.
   std::function<void(const UpstreamId&)> m_gone;
@@ -61,7 +65,9 @@
 class AgentDirectory
 {
 public:
-  AgentDirectory(DirectoryOptions aOptions, TimerHooks aTimers, DirectoryHooks aHooks);
+  AgentDirectory(DirectoryOptions aOptions,
+                 TimerHooks aTimers,
+                 DirectoryHooks aHooks);
 
   /// Follows the configured upstreams.
   void Configure(const Configuration& aConfiguration);
--- a/include/bergamotpaddle/Router/Balancer.h
+++ b/include/bergamotpaddle/Router/Balancer.h
@@ -17,13 +17,15 @@
 /// How the balancer weighs what it knows.
 struct BalancerOptions
 {
-  std::string m_zone;                ///< The router's own.
-  double m_reportWeight = 0.5;       ///< Of the agent's reported work that is not ours.
+  std::string m_zone; ///< The router's own.
+  double m_reportWeight =
+    0.5; ///< Of the agent's reported work that is not ours.
   double m_foreignZonePenalty = 0.5; ///< In outstanding attempts.
-  double m_slowFactor = 3.0;         ///< Times the pool's middle that counts as slow.
-  double m_probeChance = 0.02;       ///< That a slow upstream is chosen all the same.
-  double m_smoothing = 0.2;          ///< Of the moving averages.
-  Duration m_slowStart = std::chrono::seconds(5); ///< After a return, until full load.
+  double m_slowFactor = 3.0;   ///< Times the pool's middle that counts as slow.
+  double m_probeChance = 0.02; ///< That a slow upstream is chosen all the same.
+  double m_smoothing = 0.2;    ///< Of the moving averages.
+  Duration m_slowStart =
+    std::chrono::seconds(5); ///< After a return, until full load.
 };
 
 /// Picks upstreams with a seeded generator.
@@ -44,11 +46,14 @@
   void NoteGap(AgentView& aAgent, Duration aTime) const;
 
   /// Whether \p aAgent is slow beside the others of \p aPool.
-  bool IsSlow(const AgentDirectory& aDirectory, const PoolConfig& aPool, const AgentView& aAgent) const;
+  bool IsSlow(const AgentDirectory& aDirectory,
+              const PoolConfig& aPool,
+              const AgentView& aAgent) const;
 
 private:
   double Load(const AgentView& aAgent, Instant aNow) const;
-  std::set<UpstreamId> SlowOnes(const AgentDirectory& aDirectory, const std::vector<UpstreamId>& aLive) const;
+  std::set<UpstreamId> SlowOnes(const AgentDirectory& aDirectory,
+                                const std::vector<UpstreamId>& aLive) const;
 
   BalancerOptions m_options;
   std::mt19937_64 m_random;
--- a/include/bergamotpaddle/Router/CreditExchange.h
+++ b/include/bergamotpaddle/Router/CreditExchange.h
@@ -15,7 +15,8 @@
   std::function<bool(PeerId, Message)> m_send;
   std::function<Ledger&()> m_ledger;
   /// Holders that could not be asked; some may be gone for good.
-  std::function<void(const AccountId&, const std::vector<HolderId>&)> m_unreachable;
+  std::function<void(const AccountId&, const std::vector<HolderId>&)>
+    m_unreachable;
 };
 
 /// Questions under way and the answers to others' questions.
--- a/include/bergamotpaddle/Router/HolderWatch.h
+++ b/include/bergamotpaddle/Router/HolderWatch.h
@@ -19,7 +19,8 @@
   Duration m_renewInterval = std::chrono::seconds(2);
   Duration m_timeToLive = std::chrono::seconds(8);
   Duration m_scanInterval = std::chrono::seconds(5);
-  int m_missesBeforeRecovery = 2; ///< Scans in a row, so that a long outage of the service seals nobody.
+  int m_missesBeforeRecovery =
+    2; ///< Scans in a row, so that a long outage of the service seals nobody.
 };
 
 /// What the watch asks of its router.
@@ -34,7 +35,10 @@
 class HolderWatch
 {
 public:
-  HolderWatch(HolderWatchOptions aOptions, KeyValueHooks aKeyValue, TimerHooks aTimers, HolderWatchHooks aHooks);
+  HolderWatch(HolderWatchOptions aOptions,
+              KeyValueHooks aKeyValue,
+              TimerHooks aTimers,
+              HolderWatchHooks aHooks);
 
   void Start();
   /// Ends the renewals; the lease lapses by itself.
@@ -43,7 +47,8 @@
 private:
   void Renew();
   void Scan();
-  void Judge(const std::set<std::string>& aLedgers, const std::set<std::string>& aMembers);
+  void Judge(const std::set<std::string>& aLedgers,
+             const std::set<std::string>& aMembers);
 
   HolderWatchOptions m_options;
   KeyValueHooks m_keyValue;
--- a/include/bergamotpaddle/Router/RequestTable.h
+++ b/include/bergamotpaddle/Router/RequestTable.h
@@ -45,13 +45,15 @@
 /// Bounds of the table.
 struct RequestOptions
 {
-  int m_maxTries = 4;                                   ///< Attempts that were refused or failed.
-  Duration m_reconnectGrace = std::chrono::milliseconds(1000); ///< For an agent whose link went.
+  int m_maxTries = 4; ///< Attempts that were refused or failed.
+  Duration m_reconnectGrace =
+    std::chrono::milliseconds(1000); ///< For an agent whose link went.
   Duration m_claimTimeout = std::chrono::milliseconds(400);
-  Duration m_placeTimeout = std::chrono::seconds(3);    ///< For the place of an earlier try to come back.
+  Duration m_placeTimeout =
+    std::chrono::seconds(3); ///< For the place of an earlier try to come back.
   Duration m_requestTimeout = std::chrono::seconds(120);
-  std::size_t m_homes = 2;                              ///< Homes asked for a caller's key.
-  double m_retryShare = 0.2;                            ///< Retries for each request, on average.
+  std::size_t m_homes = 2;   ///< Homes asked for a caller's key.
+  double m_retryShare = 0.2; ///< Retries for each request, on average.
   double m_retryBurst = 50;
 };
 
@@ -117,7 +119,7 @@
     kCredit,   ///< Waits for credit.
     kSent,     ///< The agent has not answered yet.
     kAccepted,
-    kLost,     ///< Out of reach; may have run.
+    kLost, ///< Out of reach; may have run.
   };
 
   /// One attempt of a request.
@@ -127,17 +129,16 @@
     AccountId m_account;
     RequestKey m_key;
     UpstreamId m_place;
-    AgentId m_agent;           ///< The life it was sent to.
+    AgentId m_agent; ///< The life it was sent to.
     AttemptState m_state = AttemptState::kClaiming;
     std::uint64_t m_generation = 0; ///< Of its placement.
-    bool m_isAttach = false;   ///< Reads a run that is charged elsewhere.
+    bool m_isAttach = false;        ///< Reads a run that is charged elsewhere.
     bool m_hasAllotment = false;
-    bool m_isCounted = false;  ///< In the upstream's outstanding count.
+    bool m_isCounted = false; ///< In the upstream's outstanding count.
     Instant m_sentAt{};
     Instant m_lastPiece{};
-    std::map<UpstreamId, bool> m_homes;  ///< Asked, and whether each has answered.
-    std::optional<ClaimReply> m_verdict; ///< Of the first home so far.
-    std::size_t m_verdictRank = 0;
+    std::set<UpstreamId> m_asked; ///< Homes.
+    std::map<UpstreamId, ClaimReply> m_verdicts;
   };
 
   /// One request.
@@ -151,7 +152,8 @@
     int m_tries = 0;
     bool m_mayHaveRun = false; ///< Some attempt was lost.
     ResultCode m_lastRefusal = ResultCode::kNoUpstream;
-    std::string m_delivered;   ///< The answer so far, for a run that continues it.
+    std::string
+      m_delivered; ///< The answer so far, for a run that continues it.
     std::uint64_t m_deliveredTokens = 0;
     Instant m_begunAt{};
   };
@@ -164,11 +166,14 @@
   void TryNext(RequestNumber aNumber);
   void Claim(AttemptId aAttempt);
   std::vector<UpstreamId> HomesOf(const Request& aRequest) const;
+  std::optional<ClaimReply> Verdict(const Attempt& aAttempt) const;
   void ClaimDecided(AttemptId aAttempt);
   void AskCredit(AttemptId aAttempt);
   void Send(AttemptId aAttempt);
   void AttachTo(RequestNumber aNumber, const ClaimReply& aPlaced);
-  void AttachWhenUp(RequestNumber aNumber, const ClaimReply& aPlaced, Instant aSince);
+  void AttachWhenUp(RequestNumber aNumber,
+                    const ClaimReply& aPlaced,
+                    Instant aSince);
   void Reattach(AttemptId aAttempt, std::uint64_t aOffset, bool aMayWait);
   static void Unplace(Request& aRequest, const Attempt& aAttempt);
   std::vector<AttemptId> LostAt(const UpstreamId& aUpstream) const;
@@ -184,7 +189,10 @@
   void Complete(RequestNumber aNumber, const AnswerEnd& aEnd);
   void Deliver(Request& aRequest, Attempt& aAttempt, const AnswerData& aData);
   void CountOut(Attempt& aAttempt);
-  void Note(const std::string& aName, const Request& aRequest, const UpstreamId& aUpstream, const std::string& aDetail = "") const;
+  void Note(const std::string& aName,
+            const Request& aRequest,
+            const UpstreamId& aUpstream,
+            const std::string& aDetail = "") const;
 
   RequestOptions m_options;
   TimerHooks m_timers;
--- a/include/bergamotpaddle/Router/RouterCore.h
+++ b/include/bergamotpaddle/Router/RouterCore.h
@@ -50,7 +50,10 @@
 class RouterCore
 {
 public:
-  RouterCore(RouterOptions aOptions, KeyValueHooks aKeyValue, TimerHooks aTimers, RouterHooks aHooks);
+  RouterCore(RouterOptions aOptions,
+             KeyValueHooks aKeyValue,
+             TimerHooks aTimers,
+             RouterHooks aHooks);
 
   void Start();
 
@@ -58,10 +61,16 @@
   void OnClosed(PeerId aPeer);
   void OnMessage(PeerId aPeer, const Message& aMessage);
 
-  RequestNumber Begin(NewRequest aRequest) { return m_requests.Begin(std::move(aRequest)); }
+  RequestNumber Begin(NewRequest aRequest)
+  {
+    return m_requests.Begin(std::move(aRequest));
+  }
   void CallerGone(RequestNumber aNumber) { m_requests.CallerGone(aNumber); }
 
-  void SetLeaving(const std::set<UpstreamId>& aLeaving) { m_directory.SetLeaving(aLeaving); }
+  void SetLeaving(const std::set<UpstreamId>& aLeaving)
+  {
+    m_directory.SetLeaving(aLeaving);
+  }
 
   /// Ends the router: settles, returns all credit and removes its ledger. The
   /// hook runs when nothing is left of it. Callers must be done by then.
@@ -124,7 +133,8 @@
   AgentDirectory m_directory;
   Balancer m_balancer;
   std::unique_ptr<Ledger> m_ledger;
-  std::vector<std::unique_ptr<Ledger>> m_sealedLedgers; ///< Their last callbacks may be under way.
+  std::vector<std::unique_ptr<Ledger>>
+    m_sealedLedgers; ///< Their last callbacks may be under way.
   CreditExchange m_credit;
   Recovery m_recovery;
   HolderWatch m_holderWatch;
--- a/include/bergamotpaddle/StandIn/KeyValueStore.h
+++ b/include/bergamotpaddle/StandIn/KeyValueStore.h
@@ -26,19 +26,29 @@
   std::map<std::string, KeyValueEntry> List(const std::string& aPrefix) const;
 
   /// The new revision, or `Aborted`. No value removes the key.
-  absl::StatusOr<std::uint64_t> CompareAndSwap(const std::string& aKey,
-                                               std::uint64_t aRevision,
-                                               const std::optional<std::string>& aValue);
+  absl::StatusOr<std::uint64_t> CompareAndSwap(
+    const std::string& aKey,
+    std::uint64_t aRevision,
+    const std::optional<std::string>& aValue);
 
   /// Writes a key that goes at \p aNow + \p aTimeToLive unless renewed.
-  std::uint64_t KeepAlive(const std::string& aKey, const std::string& aValue, Duration aTimeToLive, Instant aNow);
+  std::uint64_t KeepAlive(const std::string& aKey,
+                          const std::string& aValue,
+                          Duration aTimeToLive,
+                          Instant aNow);
 
   /// Removes keys whose lease has run out.
   void Expire(Instant aNow);
 
   /// Takes a call from the rate's allowance; false if there is none left.
-  bool AllowWrite(Instant aNow) { return Allow(m_writeAllowance, m_rates.m_writes, aNow); }
-  bool AllowRead(Instant aNow) { return Allow(m_readAllowance, m_rates.m_reads, aNow); }
+  bool AllowWrite(Instant aNow)
+  {
+    return Allow(m_writeAllowance, m_rates.m_writes, aNow);
+  }
+  bool AllowRead(Instant aNow)
+  {
+    return Allow(m_readAllowance, m_rates.m_reads, aNow);
+  }
 
 private:
   /// A token bucket that holds one second's calls.
--- a/include/bergamotpaddle/StandIn/Servers.h
+++ b/include/bergamotpaddle/StandIn/Servers.h
@@ -15,7 +15,8 @@
 {
 public:
   virtual ~StandInServer() = default;
-  virtual void Handle(const HttpRequest& aRequest, const HttpResponderPtr& aResponder) = 0;
+  virtual void Handle(const HttpRequest& aRequest,
+                      const HttpResponderPtr& aResponder) = 0;
 };
 
 /// The key-value service: `/v1/kv/KEY`, `/v1/lease/KEY`, `/v1/watch/KEY`,
--- a/include/bergamotpaddle/Support/ResultCode.h
+++ b/include/bergamotpaddle/Support/ResultCode.h
@@ -57,10 +57,10 @@
 struct ResultCodeInfo
 {
   ResultCode m_code;
-  std::string_view m_name;       ///< As in the JSON error body.
-  int m_httpStatus;              ///< Status towards callers.
-  int m_retryAfterSeconds;       ///< 0: a retry does not help by itself.
-  std::string_view m_meaning;    ///< One sentence for operators.
+  std::string_view m_name;    ///< As in the JSON error body.
+  int m_httpStatus;           ///< Status towards callers.
+  int m_retryAfterSeconds;    ///< 0: a retry does not help by itself.
+  std::string_view m_meaning; ///< One sentence for operators.
 };
 
 /// All rows, ordered by code.
--- a/include/bergamotpaddle/Testing/FakeFleet.h
+++ b/include/bergamotpaddle/Testing/FakeFleet.h
@@ -1,7 +1,7 @@
 /// \file
-/// Several routers and agents, their real decision code, over the fakes of time,
-/// network, key-value service and upstreams. What the upstreams ran is recorded
-/// as an oracle's input.
+/// Several routers and agents, their real decision code, over the fakes of
+/// time, network, key-value service and upstreams. What the upstreams ran is
+/// recorded as an oracle's input.
 #pragma once
 
 #include "bergamotpaddle/Agent/AgentNode.h"
@@ -18,7 +18,8 @@
   RequestKey m_key;
   std::string m_upstream;
   WorkKind m_kind = WorkKind::kChat;
-  std::uint64_t m_tokens = 0; ///< Charged if it is the run that counts: prompt and whole output.
+  std::uint64_t m_tokens =
+    0; ///< Charged if it is the run that counts: prompt and whole output.
   bool m_isComplete = false;
   Instant m_startedAt{};
 };
@@ -63,8 +64,12 @@
   FakeNetwork& Network() { return m_network; }
 
   /// A request in the shape that callers of this fleet use.
-  NewRequest MakeChat(const std::string& aAccount, const std::string& aKey, std::uint64_t aTokens) const;
-  NewRequest MakeCall(const std::string& aAccount, const std::string& aKey, bool aRepeatable) const;
+  NewRequest MakeChat(const std::string& aAccount,
+                      const std::string& aKey,
+                      std::uint64_t aTokens) const;
+  NewRequest MakeCall(const std::string& aAccount,
+                      const std::string& aKey,
+                      bool aRepeatable) const;
 
   /// Hands a request to a router; nothing happens if it is not alive.
   void Begin(int aRouter, NewRequest aRequest);
@@ -73,7 +78,10 @@
   std::size_t AgentCount() const { return m_agents.size(); }
   RouterCore* Router(int aIndex);
   AgentNode* Agent(int aIndex);
-  std::string RouterName(int aIndex) const { return "router-" + std::to_string(aIndex); }
+  std::string RouterName(int aIndex) const
+  {
+    return "router-" + std::to_string(aIndex);
+  }
   std::string AgentName(int aIndex) const;
 
   void KillRouter(int aIndex);
@@ -89,7 +97,9 @@
 
   /// Writes the next configuration, with \p aDrained upstreams drained.
   std::uint64_t ApplyConfig(const std::set<std::string>& aDrained);
-  bool TopUp(const std::string& aAccount, const std::string& aId, std::uint64_t aTokens);
+  bool TopUp(const std::string& aAccount,
+             const std::string& aId,
+             std::uint64_t aTokens);
 
   /// Ends every fault and starts what is dead.
   void HealAll();
@@ -109,10 +119,18 @@
   RouterHooks MakeRouterHooks(const std::string& aName);
   AgentNodeHooks MakeAgentHooks(int aIndex);
   void StartWork(int aAgent, RunId aRun, const Dispatch& aDispatch);
-  void StartChat(int aAgent, RunId aRun, const Dispatch& aDispatch, std::size_t aRecord);
-  void NextToken(int aAgent, RunId aRun, const Dispatch& aDispatch, std::uint64_t aIndex, std::size_t aRecord);
+  void StartChat(int aAgent,
+                 RunId aRun,
+                 const Dispatch& aDispatch,
+                 std::size_t aRecord);
+  void NextToken(int aAgent,
+                 RunId aRun,
+                 const Dispatch& aDispatch,
+                 std::uint64_t aIndex,
+                 std::size_t aRecord);
   void CancelWork(int aAgent, RunId aRun);
-  std::string ConfigText(std::uint64_t aVersion, const std::set<std::string>& aDrained) const;
+  std::string ConfigText(std::uint64_t aVersion,
+                         const std::set<std::string>& aDrained) const;
 
   FakeFleetOptions m_options;
   VirtualTime m_time;
--- a/include/bergamotpaddle/Testing/FakeKeyValue.h
+++ b/include/bergamotpaddle/Testing/FakeKeyValue.h
@@ -13,9 +13,11 @@
 struct KeyValueFaults
 {
   bool m_isDown = false;
-  double m_loseAnswer = 0;  ///< Chance that a write takes effect and its answer is lost.
-  double m_lateWrite = 0;   ///< Chance that a write takes effect after its caller gave up.
-  Duration m_delay{ 0 };    ///< Added to every call.
+  double m_loseAnswer =
+    0; ///< Chance that a write takes effect and its answer is lost.
+  double m_lateWrite =
+    0; ///< Chance that a write takes effect after its caller gave up.
+  Duration m_delay{ 0 }; ///< Added to every call.
 };
 
 /// One service; every process gets hooks of its own.
@@ -27,8 +29,10 @@
   KeyValueStore& Store() { return m_store; }
   KeyValueFaults& Faults() { return m_faults; }
 
-  /// Hooks for \p aProcess; \p aIsReachable tells whether it reaches the service now.
-  KeyValueHooks HooksFor(FakeProcess& aProcess, std::function<bool()> aIsReachable);
+  /// Hooks for \p aProcess; \p aIsReachable tells whether it reaches the
+  /// service now.
+  KeyValueHooks HooksFor(FakeProcess& aProcess,
+                         const std::function<bool()>& aIsReachable);
 
   std::uint64_t Reads() const { return m_reads; }
   std::uint64_t Writes() const { return m_writes; }
@@ -42,10 +46,10 @@
             std::function<std::function<void()>()> aServe,
             std::function<void()> aUnavailable);
   void Poll(FakeProcess& aProcess,
-            std::function<bool()> aIsReachable,
-            std::string aKey,
+            const std::function<bool()>& aIsReachable,
+            const std::string& aKey,
             std::uint64_t aRevision,
-            KeyValueHooks::EntryHook aDone,
+            const KeyValueHooks::EntryHook& aDone,
             Instant aUntil);
   bool Chance(double aProbability);
 
--- a/include/bergamotpaddle/Testing/FakeNetwork.h
+++ b/include/bergamotpaddle/Testing/FakeNetwork.h
@@ -37,9 +37,15 @@
   void Close(const std::string& aFrom, PeerId aPeer);
 
   /// Nothing passes from \p aFrom to \p aTo until healed.
-  void Cut(const std::string& aFrom, const std::string& aTo) { m_cuts.emplace(aFrom, aTo); }
+  void Cut(const std::string& aFrom, const std::string& aTo)
+  {
+    m_cuts.emplace(aFrom, aTo);
+  }
   void Heal();
-  bool IsCut(const std::string& aFrom, const std::string& aTo) const { return m_cuts.contains({ aFrom, aTo }); }
+  bool IsCut(const std::string& aFrom, const std::string& aTo) const
+  {
+    return m_cuts.contains({ aFrom, aTo });
+  }
 
   std::uint64_t MessagesSent() const { return m_messages; }
 
--- a/include/bergamotpaddle/Testing/FakeProcess.h
+++ b/include/bergamotpaddle/Testing/FakeProcess.h
@@ -38,7 +38,9 @@
   TimerHooks Timers()
   {
     return { [time = m_time] { return time->Now(); },
-             [this, time = m_time](Duration aDelay, Task aTask) { time->After(aDelay, Guard(std::move(aTask))); } };
+             [this, time = m_time](Duration aDelay, Task aTask) {
+               time->After(aDelay, Guard(std::move(aTask)));
+             } };
   }
 
   bool IsAlive() const { return m_life->m_isAlive; }
--- a/include/bergamotpaddle/Testing/VirtualTime.h
+++ b/include/bergamotpaddle/Testing/VirtualTime.h
@@ -16,7 +16,10 @@
   using Task = std::function<void()>;
 
   Instant Now() const { return m_now; }
-  void After(Duration aDelay, Task aTask) { m_tasks.emplace(m_now + aDelay, std::move(aTask)); }
+  void After(Duration aDelay, Task aTask)
+  {
+    m_tasks.emplace(m_now + aDelay, std::move(aTask));
+  }
 
   /// Runs everything due within \p aDuration from now.
   void Advance(Duration aDuration)
--- a/include/bergamotpaddle/Upstream/UpstreamClient.h
+++ b/include/bergamotpaddle/Upstream/UpstreamClient.h
@@ -11,7 +11,8 @@
 /// What a client reports of its runs.
 struct UpstreamHooks
 {
-  std::function<void(RunId, const std::string& aBytes, std::uint64_t aTokens)> m_data;
+  std::function<void(RunId, const std::string& aBytes, std::uint64_t aTokens)>
+    m_data;
   std::function<void(RunId, const UpstreamOutcome&)> m_end;
 };
 
@@ -26,10 +27,14 @@
 
 /// A client of a model engine: `POST /v1/chat/completions` as a stream.
 std::unique_ptr<UpstreamClient>
-MakeEngineClient(HttpClient& aClient, std::string aBaseUrl, UpstreamHooks aHooks);
+MakeEngineClient(HttpClient& aClient,
+                 std::string aBaseUrl,
+                 UpstreamHooks aHooks);
 
 /// A client of a plain service: one call, one answer.
 std::unique_ptr<UpstreamClient>
-MakeServiceClient(HttpClient& aClient, std::string aBaseUrl, UpstreamHooks aHooks);
+MakeServiceClient(HttpClient& aClient,
+                  std::string aBaseUrl,
+                  UpstreamHooks aHooks);
 
 } // namespace bergamotpaddle
--- a/include/bergamotpaddle/Wire/Messages.h
+++ b/include/bergamotpaddle/Wire/Messages.h
@@ -46,7 +46,8 @@
   MSGPACK_DEFINE(m_process, m_role, m_zone, m_holder, m_upstream, m_agent)
 };
 
-/// Sent on every link at a steady pace; its absence means that the link is dead.
+/// Sent on every link at a steady pace; its absence means that the link is
+/// dead.
 struct Heartbeat
 {
   std::uint64_t m_configVersion = 0;
@@ -56,7 +57,12 @@
   std::uint32_t m_waiting = 0;
   std::uint64_t m_ageMilliseconds = 0; ///< Since the sender started.
   auto operator<=>(const Heartbeat&) const = default;
-  MSGPACK_DEFINE(m_configVersion, m_draining, m_upstreamHealthy, m_running, m_waiting, m_ageMilliseconds)
+  MSGPACK_DEFINE(m_configVersion,
+                 m_draining,
+                 m_upstreamHealthy,
+                 m_running,
+                 m_waiting,
+                 m_ageMilliseconds)
 };
 
 /// Router to a key's home: may this key start at \p m_place?
@@ -67,10 +73,17 @@
   RequestKey m_key;
   std::string m_fingerprint; ///< Hash of the request's content.
   UpstreamId m_place;
-  UpstreamId m_replaces;     ///< The place that was proved not to run it, or empty.
-  std::uint64_t m_replacesGeneration = 0; ///< Of that placement; a later one is not moved.
+  UpstreamId m_replaces; ///< The place that was proved not to run it, or empty.
+  std::uint64_t m_replacesGeneration =
+    0; ///< Of that placement; a later one is not moved.
   auto operator<=>(const ClaimRequest&) const = default;
-  MSGPACK_DEFINE(m_attempt, m_account, m_key, m_fingerprint, m_place, m_replaces, m_replacesGeneration)
+  MSGPACK_DEFINE(m_attempt,
+                 m_account,
+                 m_key,
+                 m_fingerprint,
+                 m_place,
+                 m_replaces,
+                 m_replacesGeneration)
 };
 
 /// What a home says to a claim.
@@ -100,11 +113,12 @@
   AccountId m_account;
   RequestKey m_key;
   std::string m_fingerprint;
-  std::uint64_t m_generation = 0; ///< Of the placement; older ones may be revoked.
+  std::uint64_t m_generation =
+    0; ///< Of the placement; older ones may be revoked.
   WorkKind m_kind = WorkKind::kChat;
-  std::string m_target;          ///< Model or service.
-  std::string m_method;          ///< Of a service call.
-  std::string m_path;            ///< Of a service call.
+  std::string m_target; ///< Model or service.
+  std::string m_method; ///< Of a service call.
+  std::string m_path;   ///< Of a service call.
   std::string m_body;
   std::string m_contentType;
   std::uint64_t m_allotment = 0; ///< The charge never exceeds it.
@@ -112,8 +126,8 @@
   std::uint64_t m_maxOutput = 0; ///< Greatest number of generated tokens.
   std::uint32_t m_weight = 1;    ///< Share of the upstream under contention.
   bool m_repeatable = true;
-  bool m_keyed = false;          ///< The caller chose the key and may ask again.
-  std::string m_resumeText;      ///< Output that the caller holds already.
+  bool m_keyed = false;     ///< The caller chose the key and may ask again.
+  std::string m_resumeText; ///< Output that the caller holds already.
   std::uint64_t m_resumeTokens = 0;
   auto operator<=>(const Dispatch&) const = default;
   MSGPACK_DEFINE(m_attempt,
@@ -197,9 +211,9 @@
   AttemptId m_attempt = 0;
   ResultCode m_code = ResultCode::kOk;
   Ran m_ran = Ran::kYes;
-  int m_httpStatus = 200;       ///< Of a service call.
-  std::string m_contentType;    ///< Of a service call.
-  std::uint64_t m_length = 0;   ///< Of the whole answer.
+  int m_httpStatus = 200;     ///< Of a service call.
+  std::string m_contentType;  ///< Of a service call.
+  std::uint64_t m_length = 0; ///< Of the whole answer.
   std::uint64_t m_promptTokens = 0;
   std::uint64_t m_completionTokens = 0;
   std::string m_finishReason;
@@ -226,7 +240,13 @@
   RequestKey m_key;
   std::uint64_t m_tokens = 0;
   auto operator<=>(const Charge&) const = default;
-  MSGPACK_DEFINE(m_holder, m_agent, m_sequence, m_account, m_attempt, m_key, m_tokens)
+  MSGPACK_DEFINE(m_holder,
+                 m_agent,
+                 m_sequence,
+                 m_account,
+                 m_attempt,
+                 m_key,
+                 m_tokens)
 };
 
 /// Router to agent: charges up to here are durable and may be forgotten.
@@ -255,9 +275,15 @@
   UpstreamId m_upstream;
   std::uint64_t m_lastSequence = 0;
   std::vector<Charge> m_unsettled;
-  std::vector<AccountId> m_running; ///< Accounts with work of the holder under way.
+  std::vector<AccountId>
+    m_running; ///< Accounts with work of the holder under way.
   auto operator<=>(const SealReply&) const = default;
-  MSGPACK_DEFINE(m_holder, m_agent, m_upstream, m_lastSequence, m_unsettled, m_running)
+  MSGPACK_DEFINE(m_holder,
+                 m_agent,
+                 m_upstream,
+                 m_lastSequence,
+                 m_unsettled,
+                 m_running)
 };
 
 /// To a peer that is behind: the configuration in force here.
--- a/lib/Agent/Admission.cpp
+++ b/lib/Agent/Admission.cpp
@@ -23,7 +23,8 @@
     return false;
   }
   const double start = std::max(m_virtualTime, m_lastDue[aRequest.m_account]);
-  const double due = start + static_cast<double>(aRequest.m_cost) / std::max(1U, aRequest.m_weight);
+  const double due = start + static_cast<double>(aRequest.m_cost) /
+                               std::max(1U, aRequest.m_weight);
   m_lastDue[aRequest.m_account] = due;
   Queued queued{ due, m_nextOrder++, aRequest };
   QueueOf(aRequest).insert(queued);
@@ -40,7 +41,9 @@
   if (!m_short.empty()) {
     return TakeFrom(m_short);
   }
-  const std::size_t slotsForLong = m_options.m_slots - std::min(m_options.m_slotsKeptForShort, m_options.m_slots - 1);
+  const std::size_t slotsForLong =
+    m_options.m_slots -
+    std::min(m_options.m_slotsKeptForShort, m_options.m_slots - 1);
   if (m_long.empty() || m_runningLong >= slotsForLong) {
     return std::nullopt;
   }
--- a/lib/Agent/AgentCore.cpp
+++ b/lib/Agent/AgentCore.cpp
@@ -15,7 +15,10 @@
 
 } // namespace
 
-AgentCore::AgentCore(AgentOptions aOptions, TimerHooks aTimers, AgentHooks aHooks, Journal& aJournal)
+AgentCore::AgentCore(AgentOptions aOptions,
+                     TimerHooks aTimers,
+                     AgentHooks aHooks,
+                     Journal& aJournal)
   : m_options(std::move(aOptions))
   , m_timers(std::move(aTimers))
   , m_hooks(std::move(aHooks))
@@ -39,10 +42,12 @@
 bool
 AgentCore::IsIdle() const
 {
-  const bool isOwed = std::any_of(m_holders.begin(), m_holders.end(), [this](const auto& aItem) {
-    return m_charges.UnsettledCount(aItem.second) > 0;
-  });
-  return m_work.OpenCount() == 0 && m_journal->PendingOutcomes() == 0 && !isOwed;
+  const bool isOwed =
+    std::any_of(m_holders.begin(), m_holders.end(), [this](const auto& aItem) {
+      return m_charges.UnsettledCount(aItem.second) > 0;
+    });
+  return m_work.OpenCount() == 0 && m_journal->PendingOutcomes() == 0 &&
+         !isOwed;
 }
 
 Heartbeat
@@ -55,15 +60,22 @@
   heartbeat.m_running = static_cast<std::uint32_t>(m_admission.Running());
   heartbeat.m_waiting = static_cast<std::uint32_t>(m_admission.Waiting());
   heartbeat.m_ageMilliseconds = static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.m_now() - m_startedAt).count());
+    std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.m_now() -
+                                                          m_startedAt)
+      .count());
   return heartbeat;
 }
 
 void
-AgentCore::Note(const std::string& aName, const Dispatch& aDispatch, const std::string& aDetail) const
+AgentCore::Note(const std::string& aName,
+                const Dispatch& aDispatch,
+                const std::string& aDetail) const
 {
-  m_hooks.m_event(
-    { aName, aDispatch.m_key.Str(), aDispatch.m_account.Str(), m_options.m_upstream.Str(), aDetail });
+  m_hooks.m_event({ aName,
+                    aDispatch.m_key.Str(),
+                    aDispatch.m_account.Str(),
+                    m_options.m_upstream.Str(),
+                    aDetail });
 }
 
 void
@@ -80,7 +92,8 @@
   // may come back for the answer.
   for (RunId run : m_work.ReadBy(aPeer)) {
     auto& readers = m_work.Find(run)->m_readers;
-    std::erase_if(readers, [&](const Reader& aReader) { return aReader.m_peer == aPeer; });
+    std::erase_if(
+      readers, [&](const Reader& aReader) { return aReader.m_peer == aPeer; });
   }
 }
 
@@ -114,7 +127,8 @@
   if (m_charges.IsSealed(aDispatch.m_holder)) {
     return ResultCode::kHolderSealed;
   }
-  if (m_charges.UnsettledCount(aDispatch.m_holder) >= m_options.m_maxUnsettled) {
+  if (m_charges.UnsettledCount(aDispatch.m_holder) >=
+      m_options.m_maxUnsettled) {
     return ResultCode::kOverloaded;
   }
   return std::nullopt;
@@ -148,7 +162,8 @@
   if (aMessage.m_repeatable) {
     Enqueue(aPeer, m_work.Add(aMessage, WorkState::kWaiting, m_timers.m_now()));
   } else {
-    JournalStart(aPeer, m_work.Add(aMessage, WorkState::kJournaling, m_timers.m_now()));
+    JournalStart(
+      aPeer, m_work.Add(aMessage, WorkState::kJournaling, m_timers.m_now()));
   }
   AttachEarly({ aMessage.m_account, aMessage.m_key });
 }
@@ -183,7 +198,8 @@
   request.m_run = aRecord.m_run;
   request.m_account = dispatch.m_account;
   request.m_weight = dispatch.m_weight;
-  request.m_cost = dispatch.m_kind == WorkKind::kChat ? dispatch.m_maxOutput : 1;
+  request.m_cost =
+    dispatch.m_kind == WorkKind::kChat ? dispatch.m_maxOutput : 1;
   if (!m_admission.Offer(request)) {
     Refuse(aPeer, dispatch, ResultCode::kOverloaded);
     m_work.Remove(aRecord.m_run);
@@ -210,13 +226,16 @@
                    dispatch.m_account,
                    dispatch.m_key,
                    dispatch.m_fingerprint,
-                   [this, run = aRecord.m_run](JournalVerdict aVerdict, const JournalEntry& aEntry) {
+                   [this, run = aRecord.m_run](JournalVerdict aVerdict,
+                                               const JournalEntry& aEntry) {
                      Journaled(run, aVerdict, aEntry);
                    });
 }
 
 void
-AgentCore::Journaled(RunId aRun, JournalVerdict aVerdict, const JournalEntry& aEntry)
+AgentCore::Journaled(RunId aRun,
+                     JournalVerdict aVerdict,
+                     const JournalEntry& aEntry)
 {
   WorkRecord* record = m_work.Find(aRun);
   if (record == nullptr) {
@@ -308,7 +327,8 @@
     AttachKnown(aPeer, aMessage, *record);
     return;
   }
-  const bool isRevoked = record != nullptr && record->m_dispatch.m_generation >= aMessage.m_generation;
+  const bool isRevoked = record != nullptr && record->m_dispatch.m_generation >=
+                                                aMessage.m_generation;
   if (isRevoked || !aMessage.m_mayWait) {
     Revoke(aPeer, aMessage);
     return;
@@ -321,11 +341,15 @@
 }
 
 void
-AgentCore::AttachKnown(PeerId aPeer, const Attach& aMessage, WorkRecord& aRecord)
+AgentCore::AttachKnown(PeerId aPeer,
+                       const Attach& aMessage,
+                       WorkRecord& aRecord)
 {
-  Note("attached", aRecord.m_dispatch, absl::StrCat("offset ", aMessage.m_offset));
+  Note(
+    "attached", aRecord.m_dispatch, absl::StrCat("offset ", aMessage.m_offset));
   auto holder = m_holders.find(aPeer);
-  const bool isOwn = aRecord.m_dispatch.m_attempt == aMessage.m_attempt && holder != m_holders.end() &&
+  const bool isOwn = aRecord.m_dispatch.m_attempt == aMessage.m_attempt &&
+                     holder != m_holders.end() &&
                      holder->second == aRecord.m_dispatch.m_holder;
   m_hooks.m_send(aPeer, Accepted{ aMessage.m_attempt, !isOwn });
   AddReader(aRecord, { aPeer, aMessage.m_attempt }, aMessage.m_offset);
@@ -384,7 +408,11 @@
 {
   std::erase(aRecord.m_readers, aReader);
   if (aOffset < aRecord.m_answer.size()) {
-    m_hooks.m_send(aReader.m_peer, AnswerData{ aReader.m_attempt, aOffset, aRecord.m_answer.substr(aOffset), TokensOf(aRecord) });
+    m_hooks.m_send(aReader.m_peer,
+                   AnswerData{ aReader.m_attempt,
+                               aOffset,
+                               aRecord.m_answer.substr(aOffset),
+                               TokensOf(aRecord) });
   }
   if (aRecord.m_state == WorkState::kFinished) {
     SendEnd(aRecord, aReader);
@@ -407,7 +435,8 @@
   for (RunId run : m_work.ReadBy(aPeer)) {
     WorkRecord& record = *m_work.Find(run);
     const Reader reader{ aPeer, aMessage.m_attempt };
-    if (std::find(record.m_readers.begin(), record.m_readers.end(), reader) != record.m_readers.end()) {
+    if (std::find(record.m_readers.begin(), record.m_readers.end(), reader) !=
+        record.m_readers.end()) {
       std::erase(record.m_readers, reader);
       CancelIfUnread(record);
       return;
@@ -420,7 +449,8 @@
 {
   // With a key the caller may ask again, and a call that may not repeat must
   // not be cut short.
-  if (!aRecord.m_readers.empty() || aRecord.m_dispatch.m_keyed || !aRecord.m_dispatch.m_repeatable) {
+  if (!aRecord.m_readers.empty() || aRecord.m_dispatch.m_keyed ||
+      !aRecord.m_dispatch.m_repeatable) {
     return;
   }
   Note("cancelled", aRecord.m_dispatch);
@@ -432,7 +462,9 @@
 }
 
 void
-AgentCore::OnUpstreamData(RunId aRun, const std::string& aBytes, std::uint64_t aTokens)
+AgentCore::OnUpstreamData(RunId aRun,
+                          const std::string& aBytes,
+                          std::uint64_t aTokens)
 {
   WorkRecord* record = m_work.Find(aRun);
   if (record == nullptr || record->m_state != WorkState::kRunning) {
@@ -442,7 +474,9 @@
   record->m_answer += aBytes;
   record->m_generated += aTokens;
   for (const Reader& reader : record->m_readers) {
-    m_hooks.m_send(reader.m_peer, AnswerData{ reader.m_attempt, offset, aBytes, TokensOf(*record) });
+    m_hooks.m_send(
+      reader.m_peer,
+      AnswerData{ reader.m_attempt, offset, aBytes, TokensOf(*record) });
   }
 }
 
@@ -462,7 +496,8 @@
     entry.m_httpStatus = aOutcome.m_httpStatus;
     entry.m_contentType = aOutcome.m_contentType;
     entry.m_body = record->m_answer;
-    m_journal->Finish(dispatch.m_target, dispatch.m_account, dispatch.m_key, std::move(entry));
+    m_journal->Finish(
+      dispatch.m_target, dispatch.m_account, dispatch.m_key, std::move(entry));
   }
   EndRun(*record, aOutcome);
   StartReady();
@@ -481,14 +516,16 @@
   end.m_contentType = aOutcome.m_contentType;
   end.m_length = aRecord.m_answer.size();
   end.m_promptTokens = aOutcome.m_promptTokens;
-  end.m_completionTokens = dispatch.m_resumeTokens + aOutcome.m_completionTokens;
+  end.m_completionTokens =
+    dispatch.m_resumeTokens + aOutcome.m_completionTokens;
   end.m_finishReason = aOutcome.m_finishReason;
   BookCharge(aRecord, ChargeOf(aRecord, aOutcome));
   for (const Reader& reader : aRecord.m_readers) {
     SendEnd(aRecord, reader);
   }
   aRecord.m_readers.clear();
-  const bool mayRunAgain = aOutcome.m_code == ResultCode::kUpstreamFailed && dispatch.m_repeatable;
+  const bool mayRunAgain =
+    aOutcome.m_code == ResultCode::kUpstreamFailed && dispatch.m_repeatable;
   const bool mayLearnMore = aOutcome.m_code == ResultCode::kOutcomeUnknown;
   if (mayRunAgain || mayLearnMore) {
     // Not kept: a router may send the work here again, and the journal decides
@@ -500,18 +537,22 @@
 }
 
 std::uint64_t
-AgentCore::ChargeOf(const WorkRecord& aRecord, const UpstreamOutcome& aOutcome) const
+AgentCore::ChargeOf(const WorkRecord& aRecord,
+                    const UpstreamOutcome& aOutcome) const
 {
   const Dispatch& dispatch = aRecord.m_dispatch;
   if (dispatch.m_kind == WorkKind::kServiceCall) {
     return aOutcome.m_ran == Ran::kYes ? dispatch.m_fixedCost : 0;
   }
-  const bool isDelivered = aOutcome.m_code == ResultCode::kOk || aOutcome.m_code == ResultCode::kCancelled;
+  const bool isDelivered = aOutcome.m_code == ResultCode::kOk ||
+                           aOutcome.m_code == ResultCode::kCancelled;
   if (!isDelivered) {
-    // Whoever carries the work on charges all of it, this run's tokens included.
+    // Whoever carries the work on charges all of it, this run's tokens
+    // included.
     return 0;
   }
-  return aOutcome.m_promptTokens + dispatch.m_resumeTokens + aOutcome.m_completionTokens;
+  return aOutcome.m_promptTokens + dispatch.m_resumeTokens +
+         aOutcome.m_completionTokens;
 }
 
 void
@@ -519,9 +560,14 @@
 {
   const Dispatch& dispatch = aRecord.m_dispatch;
   const std::uint64_t tokens = std::min(aTokens, dispatch.m_allotment);
-  const Charge& charge =
-    m_charges.Add(dispatch.m_holder, dispatch.m_account, dispatch.m_key, dispatch.m_attempt, tokens);
-  Note("charged", dispatch, absl::StrCat(tokens, " tokens to ", dispatch.m_holder.Str()));
+  const Charge& charge = m_charges.Add(dispatch.m_holder,
+                                       dispatch.m_account,
+                                       dispatch.m_key,
+                                       dispatch.m_attempt,
+                                       tokens);
+  Note("charged",
+       dispatch,
+       absl::StrCat(tokens, " tokens to ", dispatch.m_holder.Str()));
   for (const auto& [peer, holder] : m_holders) {
     if (holder == dispatch.m_holder) {
       m_hooks.m_send(peer, charge);
@@ -548,7 +594,8 @@
   reply.m_lastSequence = m_charges.LastSequence(aMessage.m_holder);
   reply.m_unsettled = m_charges.Unsettled(aMessage.m_holder);
   reply.m_running = m_work.OpenAccounts(aMessage.m_holder);
-  m_hooks.m_event({ "sealed", "", "", m_options.m_upstream.Str(), aMessage.m_holder.Str() });
+  m_hooks.m_event(
+    { "sealed", "", "", m_options.m_upstream.Str(), aMessage.m_holder.Str() });
   m_hooks.m_send(aPeer, reply);
 }
 
--- a/lib/Agent/AgentNode.cpp
+++ b/lib/Agent/AgentNode.cpp
@@ -2,13 +2,18 @@
 
 namespace bergamotpaddle {
 
-AgentNode::AgentNode(AgentNodeOptions aOptions, TimerHooks aTimers, AgentNodeHooks aHooks, Journal& aJournal)
+AgentNode::AgentNode(AgentNodeOptions aOptions,
+                     TimerHooks aTimers,
+                     AgentNodeHooks aHooks,
+                     Journal& aJournal)
   : m_options(std::move(aOptions))
   , m_timers(std::move(aTimers))
   , m_hooks(std::move(aHooks))
   , m_core(m_options.m_agent, m_timers, m_hooks.m_agent, aJournal)
 {
-  m_config.OnChange([this](const ConfigurationPtr& aConfiguration) { Configure(*aConfiguration); });
+  m_config.OnChange([this](const ConfigurationPtr& aConfiguration) {
+    Configure(*aConfiguration);
+  });
 }
 
 void
@@ -42,14 +47,16 @@
   heard->second = m_timers.m_now();
   if (const auto* heartbeat = std::get_if<Heartbeat>(&aMessage)) {
     if (heartbeat->m_configVersion < Current().m_version) {
-      m_hooks.m_agent.m_send(aPeer, ConfigOffer{ Current().m_version, m_config.Document() });
+      m_hooks.m_agent.m_send(
+        aPeer, ConfigOffer{ Current().m_version, m_config.Document() });
     }
     return;
   }
   if (const auto* offer = std::get_if<ConfigOffer>(&aMessage)) {
     const absl::Status offered = m_config.Offer(offer->m_document);
     if (!offered.ok()) {
-      m_hooks.m_agent.m_event({ "config_rejected", "", "", "", std::string(offered.message()) });
+      m_hooks.m_agent.m_event(
+        { "config_rejected", "", "", "", std::string(offered.message()) });
     }
     return;
   }
@@ -61,12 +68,17 @@
 {
   const UpstreamId& self = m_options.m_agent.m_upstream;
   m_hooks.m_agent.m_event(
-    { "config_in_force", "", "", self.Str(), "version " + std::to_string(aConfiguration.m_version) });
+    { "config_in_force",
+      "",
+      "",
+      self.Str(),
+      "version " + std::to_string(aConfiguration.m_version) });
   auto upstream = aConfiguration.m_upstreams.find(self);
   const bool isKnown = upstream != aConfiguration.m_upstreams.end();
   m_core.SetUpstreamDraining(!isKnown || upstream->second.m_drained);
   if (isKnown) {
-    m_core.SetAdmission(aConfiguration.m_pools.at(upstream->second.m_pool).m_admission);
+    m_core.SetAdmission(
+      aConfiguration.m_pools.at(upstream->second.m_pool).m_admission);
   }
   Tell();
 }
--- a/lib/Agent/Journal.cpp
+++ b/lib/Agent/Journal.cpp
@@ -69,7 +69,8 @@
 std::string
 Journal::SlotKey(const std::string& aService, const std::string& aName) const
 {
-  return absl::StrCat("journal/", aService, "/", PlacementHash(aName) % m_options.m_slots);
+  return absl::StrCat(
+    "journal/", aService, "/", PlacementHash(aName) % m_options.m_slots);
 }
 
 void
@@ -86,10 +87,14 @@
 }
 
 void
-Journal::Finish(const std::string& aService, const AccountId& aAccount, const RequestKey& aKey, JournalEntry aOutcome)
+Journal::Finish(const std::string& aService,
+                const AccountId& aAccount,
+                const RequestKey& aKey,
+                JournalEntry aOutcome)
 {
   if (aOutcome.m_body.size() > m_options.m_maxBodyBytes) {
-    aOutcome.m_body = R"({"note":"the call ran; its answer was too long to keep"})";
+    aOutcome.m_body =
+      R"({"note":"the call ran; its answer was too long to keep"})";
     aOutcome.m_contentType = "application/json";
   }
   aOutcome.m_hasOutcome = true;
@@ -100,7 +105,9 @@
 }
 
 void
-Journal::Withdraw(const std::string& aService, const AccountId& aAccount, const RequestKey& aKey)
+Journal::Withdraw(const std::string& aService,
+                  const AccountId& aAccount,
+                  const RequestKey& aKey)
 {
   JournalEntry withdrawn;
   withdrawn.m_withdrawn = true;
@@ -130,24 +137,33 @@
   slot.m_busy = true;
   auto starts = std::make_shared<std::vector<PendingStart>>();
   starts->swap(slot.m_starts);
-  auto outcomes = std::make_shared<std::map<std::string, JournalEntry>>(slot.m_outcomes);
+  auto outcomes =
+    std::make_shared<std::map<std::string, JournalEntry>>(slot.m_outcomes);
   auto verdicts = std::make_shared<Verdicts>();
   UpdateOptions options;
-  options.m_maxUnclear = starts->empty() ? kOutcomeUnclearRounds : kStartUnclearRounds;
+  options.m_maxUnclear =
+    starts->empty() ? kOutcomeUnclearRounds : kStartUnclearRounds;
   Update(
     m_keyValue,
     m_timers,
     aSlotKey,
-    [this, alive = std::weak_ptr(m_alive), starts, outcomes, verdicts](const std::optional<std::string>& aPresent) {
+    [this, alive = std::weak_ptr(m_alive), starts, outcomes, verdicts](
+      const std::optional<std::string>& aPresent) {
       if (alive.expired()) {
-        return TransformResult::Stop(absl::CancelledError("the agent is stopping"));
+        return TransformResult::Stop(
+          absl::CancelledError("the agent is stopping"));
       }
       return Apply(aPresent, *starts, *outcomes, *verdicts);
     },
-    [this, alive = std::weak_ptr(m_alive), aSlotKey, starts, outcomes, verdicts](
-      const absl::StatusOr<KeyValueEntry>& aEntry) {
+    [this,
+     alive = std::weak_ptr(m_alive),
+     aSlotKey,
+     starts,
+     outcomes,
+     verdicts](const absl::StatusOr<KeyValueEntry>& aEntry) {
       if (!alive.expired()) {
-        Written(aSlotKey, std::move(*starts), *outcomes, *verdicts, aEntry.status());
+        Written(
+          aSlotKey, std::move(*starts), *outcomes, *verdicts, aEntry.status());
       }
     },
     options);
@@ -163,7 +179,8 @@
   if (aPresent.has_value()) {
     const json value = json::parse(*aPresent, nullptr, false);
     if (value.is_discarded()) {
-      return TransformResult::Stop(absl::DataLossError("journal value does not parse"));
+      return TransformResult::Stop(
+        absl::DataLossError("journal value does not parse"));
     }
     for (const auto& [name, entry] : value.items()) {
       entries.emplace(name, FromJson(entry));
@@ -220,7 +237,8 @@
   }
   // An entry of this life that was never begun is a start whose answer was
   // lost: nobody else may run it, and this life has not.
-  const bool isOurs = entry.m_starter == m_agent.Str() && !m_begun.contains(aStart.m_name);
+  const bool isOurs =
+    entry.m_starter == m_agent.Str() && !m_begun.contains(aStart.m_name);
   return { isOurs ? JournalVerdict::kStart : JournalVerdict::kUnknown, entry };
 }
 
@@ -228,9 +246,12 @@
 Journal::Prune(Entries& aEntries) const
 {
   const std::uint64_t now = m_wallClock();
-  const auto retention =
-    static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_options.m_retention).count());
-  std::erase_if(aEntries, [&](const auto& aItem) { return aItem.second.m_startedAtMs + retention < now; });
+  const auto retention = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(m_options.m_retention)
+      .count());
+  std::erase_if(aEntries, [&](const auto& aItem) {
+    return aItem.second.m_startedAtMs + retention < now;
+  });
 }
 
 void
@@ -254,7 +275,8 @@
       continue;
     }
     auto [verdict, entry] = aVerdicts[i];
-    if (verdict == JournalVerdict::kStart && !m_begun.insert(aStarts[i].m_name).second) {
+    if (verdict == JournalVerdict::kStart &&
+        !m_begun.insert(aStarts[i].m_name).second) {
       verdict = JournalVerdict::kUnknown; // The same key twice in one write.
     }
     aStarts[i].m_done(verdict, entry);
@@ -263,11 +285,12 @@
     Pump(aSlotKey);
     return;
   }
-  m_timers.m_after(kRetryInterval, [this, alive = std::weak_ptr(m_alive), aSlotKey] {
-    if (!alive.expired()) {
-      Pump(aSlotKey);
-    }
-  });
+  m_timers.m_after(kRetryInterval,
+                   [this, alive = std::weak_ptr(m_alive), aSlotKey] {
+                     if (!alive.expired()) {
+                       Pump(aSlotKey);
+                     }
+                   });
 }
 
 } // namespace bergamotpaddle
--- a/lib/Agent/WorkTable.cpp
+++ b/lib/Agent/WorkTable.cpp
@@ -10,13 +10,15 @@
 bool
 IsOpen(const WorkRecord& aRecord)
 {
-  return aRecord.m_state != WorkState::kFinished && aRecord.m_state != WorkState::kRevoked;
+  return aRecord.m_state != WorkState::kFinished &&
+         aRecord.m_state != WorkState::kRevoked;
 }
 
 std::size_t
 BytesOf(const WorkRecord& aRecord)
 {
-  return aRecord.m_answer.size() + aRecord.m_dispatch.m_body.size() + sizeof(WorkRecord);
+  return aRecord.m_answer.size() + aRecord.m_dispatch.m_body.size() +
+         sizeof(WorkRecord);
 }
 
 } // namespace
@@ -67,7 +69,8 @@
   if (found == m_records.end()) {
     return;
   }
-  m_byName.erase({ found->second.m_dispatch.m_account, found->second.m_dispatch.m_key });
+  m_byName.erase(
+    { found->second.m_dispatch.m_account, found->second.m_dispatch.m_key });
   m_records.erase(found);
 }
 
@@ -96,8 +99,9 @@
 std::size_t
 WorkTable::OpenCount() const
 {
-  return std::count_if(
-    m_records.begin(), m_records.end(), [](const auto& aItem) { return IsOpen(aItem.second); });
+  return std::count_if(m_records.begin(),
+                       m_records.end(),
+                       [](const auto& aItem) { return IsOpen(aItem.second); });
 }
 
 std::vector<RunId>
@@ -105,9 +109,10 @@
 {
   std::vector<RunId> runs;
   for (const auto& [run, record] : m_records) {
-    const bool isReader = std::any_of(record.m_readers.begin(), record.m_readers.end(), [&](const Reader& aReader) {
-      return aReader.m_peer == aPeer;
-    });
+    const bool isReader = std::any_of(
+      record.m_readers.begin(),
+      record.m_readers.end(),
+      [&](const Reader& aReader) { return aReader.m_peer == aPeer; });
     if (isReader) {
       runs.push_back(run);
     }
--- a/lib/Budget/ChargeBook.cpp
+++ b/lib/Budget/ChargeBook.cpp
@@ -16,7 +16,9 @@
 {
   Account& holder = m_holders[aHolder];
   const std::uint64_t sequence = ++holder.m_lastSequence;
-  Charge charge{ aHolder, m_agent, sequence, aAccount, aAttempt, aKey, aTokens };
+  Charge charge{
+    aHolder, m_agent, sequence, aAccount, aAttempt, aKey, aTokens
+  };
   return holder.m_unsettled.emplace(sequence, std::move(charge)).first->second;
 }
 
--- a/lib/Budget/Closing.cpp
+++ b/lib/Budget/Closing.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 TransformResult
-CloseTransform(const AccountClosing& aClosing, const std::optional<std::string>& aPresent)
+CloseTransform(const AccountClosing& aClosing,
+               const std::optional<std::string>& aPresent)
 {
   BudgetValue budget;
   if (aPresent.has_value()) {
@@ -48,8 +49,12 @@
     aKeyValue,
     aTimers,
     BudgetKey(aClosing.m_account),
-    [aClosing](const std::optional<std::string>& aPresent) { return CloseTransform(aClosing, aPresent); },
-    [done = std::move(aDone)](const absl::StatusOr<KeyValueEntry>& aEntry) { done(aEntry.status()); },
+    [aClosing](const std::optional<std::string>& aPresent) {
+      return CloseTransform(aClosing, aPresent);
+    },
+    [done = std::move(aDone)](const absl::StatusOr<KeyValueEntry>& aEntry) {
+      done(aEntry.status());
+    },
     Persistent());
 }
 
@@ -67,13 +72,17 @@
       if (!aPresent.has_value()) {
         return TransformResult::Stop(absl::OkStatus());
       }
-      const absl::StatusOr<LedgerValue> ledger = LedgerValue::FromJson(*aPresent);
+      const absl::StatusOr<LedgerValue> ledger =
+        LedgerValue::FromJson(*aPresent);
       if (!ledger.ok() || !ledger->m_sealed) {
-        return TransformResult::Stop(absl::FailedPreconditionError("the ledger is not sealed; seal it first"));
+        return TransformResult::Stop(absl::FailedPreconditionError(
+          "the ledger is not sealed; seal it first"));
       }
       return TransformResult::Remove();
     },
-    [done = std::move(aDone)](const absl::StatusOr<KeyValueEntry>& aEntry) { done(aEntry.status()); },
+    [done = std::move(aDone)](const absl::StatusOr<KeyValueEntry>& aEntry) {
+      done(aEntry.status());
+    },
     Persistent());
 }
 
--- a/lib/Budget/Ledger.cpp
+++ b/lib/Budget/Ledger.cpp
@@ -55,11 +55,12 @@
 void
 Ledger::After(Duration aDelay, std::function<void()> aTask)
 {
-  m_timers.m_after(aDelay, [weak = std::weak_ptr(m_alive), task = std::move(aTask)] {
-    if (!weak.expired()) {
-      task();
-    }
-  });
+  m_timers.m_after(aDelay,
+                   [weak = std::weak_ptr(m_alive), task = std::move(aTask)] {
+                     if (!weak.expired()) {
+                       task();
+                     }
+                   });
 }
 
 void
@@ -81,7 +82,8 @@
   }
   account.m_demand += aTokens;
   account.m_lastDemand = now;
-  account.m_waiters.push_back({ aAttempt, aKey, aTokens, std::move(aDone), false });
+  account.m_waiters.push_back(
+    { aAttempt, aKey, aTokens, std::move(aDone), false });
   Pump(aAccount);
 }
 
@@ -141,8 +143,10 @@
 Ledger::Grant(const AccountId& aAccount, Account& aState, const Waiter& aWaiter)
 {
   aState.m_allotted += aWaiter.m_tokens;
-  m_attempts.emplace(aWaiter.m_attempt, Attempt{ aAccount, aWaiter.m_key, aWaiter.m_tokens });
-  assert(aState.Committed() <= aState.m_drawn && "an allotment is covered by what was drawn");
+  m_attempts.emplace(aWaiter.m_attempt,
+                     Attempt{ aAccount, aWaiter.m_key, aWaiter.m_tokens });
+  assert(aState.Committed() <= aState.m_drawn &&
+         "an allotment is covered by what was drawn");
 }
 
 void
@@ -168,10 +172,13 @@
     m_keyValue,
     m_timers,
     BudgetKey(aAccount),
-    [this, alive = std::weak_ptr(m_alive), aAccount](const std::optional<std::string>& aPresent) {
-      return alive.expired() ? TransformResult::Stop(SealedStatus()) : DrawTransform(aAccount, aPresent);
+    [this, alive = std::weak_ptr(m_alive), aAccount](
+      const std::optional<std::string>& aPresent) {
+      return alive.expired() ? TransformResult::Stop(SealedStatus())
+                             : DrawTransform(aAccount, aPresent);
     },
-    [this, alive = std::weak_ptr(m_alive), aAccount](const absl::StatusOr<KeyValueEntry>& aEntry) {
+    [this, alive = std::weak_ptr(m_alive), aAccount](
+      const absl::StatusOr<KeyValueEntry>& aEntry) {
       if (!alive.expired()) {
         DrawDone(aAccount, aEntry);
       }
@@ -185,30 +192,35 @@
   // sealed (which also tells recoveries of this account), then write the budget
   // at the revision read. A recovery seals first and touches the budget after,
   // so a draw that it could miss fails on the revision.
-  m_keyValue.m_get(
-    BudgetKey(aAccount), [this, alive = std::weak_ptr(m_alive), aAccount, aTries](absl::StatusOr<KeyValueEntry> aRead) {
-      if (alive.expired()) {
-        return;
-      }
-      if (!aRead.ok()) {
-        DrawDone(aAccount, aRead.status());
-        return;
-      }
-      m_writer.Flush([this, alive, aAccount, aTries, read = *aRead](const absl::Status& aFlushed) {
-        if (alive.expired()) {
-          return;
-        }
-        if (!aFlushed.ok()) {
-          DrawDone(aAccount, aFlushed);
-          return;
-        }
-        FirstDrawWrite(aAccount, read, aTries);
-      });
-    });
+  m_keyValue.m_get(BudgetKey(aAccount),
+                   [this, alive = std::weak_ptr(m_alive), aAccount, aTries](
+                     absl::StatusOr<KeyValueEntry> aRead) {
+                     if (alive.expired()) {
+                       return;
+                     }
+                     if (!aRead.ok()) {
+                       DrawDone(aAccount, aRead.status());
+                       return;
+                     }
+                     m_writer.Flush(
+                       [this, alive, aAccount, aTries, read = *aRead](
+                         const absl::Status& aFlushed) {
+                         if (alive.expired()) {
+                           return;
+                         }
+                         if (!aFlushed.ok()) {
+                           DrawDone(aAccount, aFlushed);
+                           return;
+                         }
+                         FirstDrawWrite(aAccount, read, aTries);
+                       });
+                   });
 }
 
 void
-Ledger::FirstDrawWrite(const AccountId& aAccount, const KeyValueEntry& aRead, int aTries)
+Ledger::FirstDrawWrite(const AccountId& aAccount,
+                       const KeyValueEntry& aRead,
+                       int aTries)
 {
   std::optional<std::string> present;
   if (aRead.m_revision != 0) {
@@ -216,15 +228,20 @@
   }
   TransformResult wanted = DrawTransform(aAccount, present);
   if (wanted.m_action == TransformResult::Action::kStop) {
-    DrawDone(aAccount, wanted.m_status.ok() ? absl::StatusOr<KeyValueEntry>(aRead) : wanted.m_status);
+    DrawDone(aAccount,
+             wanted.m_status.ok() ? absl::StatusOr<KeyValueEntry>(aRead)
+                                  : wanted.m_status);
     return;
   }
   m_keyValue.m_compareAndSwap(
     BudgetKey(aAccount),
     aRead.m_revision,
     wanted.m_value,
-    [this, alive = std::weak_ptr(m_alive), aAccount, aTries, value = wanted.m_value](
-      absl::StatusOr<std::uint64_t> aRevision) {
+    [this,
+     alive = std::weak_ptr(m_alive),
+     aAccount,
+     aTries,
+     value = wanted.m_value](absl::StatusOr<std::uint64_t> aRevision) {
       if (alive.expired()) {
         return;
       }
@@ -236,12 +253,14 @@
         StartFirstDraw(aAccount, aTries - 1);
         return;
       }
-      DrawDone(aAccount, absl::UnavailableError("the first draw did not get through"));
+      DrawDone(aAccount,
+               absl::UnavailableError("the first draw did not get through"));
     });
 }
 
 TransformResult
-Ledger::DrawTransform(const AccountId& aAccount, const std::optional<std::string>& aPresent)
+Ledger::DrawTransform(const AccountId& aAccount,
+                      const std::optional<std::string>& aPresent)
 {
   const Account& account = m_accounts[aAccount];
   BudgetValue budget;
@@ -253,9 +272,11 @@
     budget = *parsed;
   }
   if (!aPresent.has_value()) {
-    const std::optional<std::uint64_t> initial = m_hooks.m_initialBudget(aAccount);
+    const std::optional<std::uint64_t> initial =
+      m_hooks.m_initialBudget(aAccount);
     if (!initial.has_value()) {
-      return TransformResult::Stop(absl::NotFoundError("the account has no budget"));
+      return TransformResult::Stop(
+        absl::NotFoundError("the account has no budget"));
     }
     budget.m_topUps["initial"] = *initial;
   }
@@ -264,7 +285,8 @@
     return TransformResult::Stop(SealedStatus());
   }
   const std::uint64_t mine = entry == budget.m_draws.end() ? 0 : entry->second;
-  const std::uint64_t wanted = WantedDraw(account, mine, budget.Available(), budget.m_draws.size() + 1);
+  const std::uint64_t wanted =
+    WantedDraw(account, mine, budget.Available(), budget.m_draws.size() + 1);
   if (wanted <= mine && aPresent.has_value()) {
     return TransformResult::Stop(absl::OkStatus());
   }
@@ -273,7 +295,10 @@
 }
 
 std::uint64_t
-Ledger::WantedDraw(const Account& aState, std::uint64_t aMine, std::uint64_t aAvailable, std::size_t aHolders) const
+Ledger::WantedDraw(const Account& aState,
+                   std::uint64_t aMine,
+                   std::uint64_t aAvailable,
+                   std::size_t aHolders) const
 {
   const std::uint64_t greatest = aMine + aAvailable;
   std::uint64_t wanted = aState.Committed();
@@ -294,7 +319,8 @@
 }
 
 void
-Ledger::DrawDone(const AccountId& aAccount, const absl::StatusOr<KeyValueEntry>& aEntry)
+Ledger::DrawDone(const AccountId& aAccount,
+                 const absl::StatusOr<KeyValueEntry>& aEntry)
 {
   Account& account = m_accounts[aAccount];
   account.m_busy = false;
@@ -311,7 +337,8 @@
     Pump(aAccount);
     return;
   }
-  const absl::StatusOr<BudgetValue> budget = BudgetValue::FromJson(aEntry->m_value);
+  const absl::StatusOr<BudgetValue> budget =
+    BudgetValue::FromJson(aEntry->m_value);
   assert(budget.ok() && "a value that was just transformed parses");
   auto entry = budget->m_draws.find(m_holder);
   if (entry != budget->m_draws.end()) {
@@ -345,7 +372,8 @@
     const bool isExhausted = account.m_allAnswered || others.empty();
     account.m_nextDraw = m_timers.m_now() + m_options.m_exhaustedPause;
     refused.emplace_back(std::move(waiter.m_done),
-                         isExhausted ? ResultCode::kBudgetExhausted : ResultCode::kCreditUnreachable);
+                         isExhausted ? ResultCode::kBudgetExhausted
+                                     : ResultCode::kCreditUnreachable);
   }
   account.m_waiters.swap(left);
   if (mustAsk) {
@@ -367,7 +395,10 @@
     tokens += waiter.m_tokens;
   }
   m_hooks.m_askHolders(
-    aAccount, tokens, std::move(aOthers), [this, alive = std::weak_ptr(m_alive), aAccount](bool aAllAnswered) {
+    aAccount,
+    tokens,
+    std::move(aOthers),
+    [this, alive = std::weak_ptr(m_alive), aAccount](bool aAllAnswered) {
       if (alive.expired()) {
         return;
       }
@@ -406,9 +437,10 @@
   if (!m_doubled.contains(name) || m_doubledOpen.contains(name)) {
     return;
   }
-  const bool isOut = std::any_of(m_attempts.begin(), m_attempts.end(), [&](const auto& aItem) {
-    return aItem.second.m_account == aAccount && aItem.second.m_key == aKey;
-  });
+  const bool isOut =
+    std::any_of(m_attempts.begin(), m_attempts.end(), [&](const auto& aItem) {
+      return aItem.second.m_account == aAccount && aItem.second.m_key == aKey;
+    });
   if (!isOut) {
     m_doubled.erase(name);
   }
@@ -447,11 +479,13 @@
   through = aCharge.m_sequence;
   m_dirty = true;
   auto attempt = m_attempts.find(aCharge.m_attempt);
-  const std::uint64_t allotment = attempt == m_attempts.end() ? 0 : attempt->second.m_tokens;
+  const std::uint64_t allotment =
+    attempt == m_attempts.end() ? 0 : attempt->second.m_tokens;
   Account& account = m_accounts[aCharge.m_account];
   account.m_allotted -= allotment;
   account.m_charged += BillOf(aCharge, allotment);
-  assert(account.Committed() <= account.m_drawn && "a charge is covered by what was drawn");
+  assert(account.Committed() <= account.m_drawn &&
+         "a charge is covered by what was drawn");
   if (attempt != m_attempts.end()) {
     ForgetAttempt(aCharge.m_attempt);
   }
@@ -506,14 +540,16 @@
     m_timers,
     BudgetKey(aAccount),
     [holder = m_holder, target](const std::optional<std::string>& aPresent) {
-      absl::StatusOr<BudgetValue> budget = BudgetValue::FromJson(aPresent.value_or(""));
+      absl::StatusOr<BudgetValue> budget =
+        BudgetValue::FromJson(aPresent.value_or(""));
       if (!budget.ok() || !budget->m_draws.contains(holder)) {
         return TransformResult::Stop(SealedStatus());
       }
       budget->m_draws[holder] = target;
       return TransformResult::Write(budget->ToJson());
     },
-    [this, alive = std::weak_ptr(m_alive), aAccount](const absl::StatusOr<KeyValueEntry>& aEntry) {
+    [this, alive = std::weak_ptr(m_alive), aAccount](
+      const absl::StatusOr<KeyValueEntry>& aEntry) {
       if (!alive.expired()) {
         ReturnDone(aAccount, aEntry);
       }
@@ -522,7 +558,8 @@
 }
 
 void
-Ledger::ReturnDone(const AccountId& aAccount, const absl::StatusOr<KeyValueEntry>& aEntry)
+Ledger::ReturnDone(const AccountId& aAccount,
+                   const absl::StatusOr<KeyValueEntry>& aEntry)
 {
   Account& account = m_accounts[aAccount];
   account.m_busy = false;
@@ -547,7 +584,8 @@
   const Instant now = m_timers.m_now();
   std::vector<AccountId> idle;
   for (const auto& [id, account] : m_accounts) {
-    if (account.Free() > 0 && now - account.m_lastDemand >= m_options.m_idleBeforeReturn) {
+    if (account.Free() > 0 &&
+        now - account.m_lastDemand >= m_options.m_idleBeforeReturn) {
       idle.push_back(id);
     }
   }
@@ -610,7 +648,8 @@
 void
 Ledger::Retire(std::function<void()> aDone)
 {
-  assert(m_attempts.empty() && "a holder is retired when nothing is outstanding");
+  assert(m_attempts.empty() &&
+         "a holder is retired when nothing is outstanding");
   m_retiring = true;
   // A failure means that the key is sealed, by our own write whose answer was
   // lost or by a recovery. Closing is right and idempotent in each case.
@@ -624,20 +663,26 @@
 }
 
 void
-Ledger::CloseNextAccount(std::vector<AccountId> aLeft, std::function<void()> aDone)
+Ledger::CloseNextAccount(std::vector<AccountId> aLeft,
+                         std::function<void()> aDone)
 {
   if (aLeft.empty()) {
-    RemoveLedger(m_keyValue, m_timers, m_holder, [done = std::move(aDone)](const absl::Status&) { done(); });
+    RemoveLedger(m_keyValue,
+                 m_timers,
+                 m_holder,
+                 [done = std::move(aDone)](const absl::Status&) { done(); });
     return;
   }
   const AccountId account = aLeft.back();
   aLeft.pop_back();
   CloseAccount(m_keyValue,
                m_timers,
-               { account, m_holder, m_accounts[account].m_charged, m_hooks.m_initialBudget(account) },
-               [this, left = std::move(aLeft), done = std::move(aDone)](const absl::Status&) {
-                 CloseNextAccount(left, done);
-               });
+               { account,
+                 m_holder,
+                 m_accounts[account].m_charged,
+                 m_hooks.m_initialBudget(account) },
+               [this, left = std::move(aLeft), done = std::move(aDone)](
+                 const absl::Status&) { CloseNextAccount(left, done); });
 }
 
 std::vector<LedgerAccountSummary>
@@ -645,7 +690,8 @@
 {
   std::vector<LedgerAccountSummary> accounts;
   for (const auto& [id, account] : m_accounts) {
-    accounts.push_back({ id, account.m_drawn, account.m_allotted, account.m_charged });
+    accounts.push_back(
+      { id, account.m_drawn, account.m_allotted, account.m_charged });
   }
   return accounts;
 }
--- a/lib/Budget/LedgerWriter.cpp
+++ b/lib/Budget/LedgerWriter.cpp
@@ -12,7 +12,10 @@
 
 } // namespace
 
-LedgerWriter::LedgerWriter(HolderId aHolder, KeyValueHooks aKeyValue, TimerHooks aTimers, LedgerWriterHooks aHooks)
+LedgerWriter::LedgerWriter(HolderId aHolder,
+                           KeyValueHooks aKeyValue,
+                           TimerHooks aTimers,
+                           LedgerWriterHooks aHooks)
   : m_holder(std::move(aHolder))
   , m_keyValue(std::move(aKeyValue))
   , m_timers(std::move(aTimers))
@@ -44,10 +47,13 @@
     m_keyValue,
     m_timers,
     LedgerKey(m_holder),
-    [this, alive = std::weak_ptr(m_alive)](const std::optional<std::string>& aPresent) {
-      return alive.expired() ? TransformResult::Stop(SealedStatus()) : Transform(aPresent);
+    [this, alive = std::weak_ptr(m_alive)](
+      const std::optional<std::string>& aPresent) {
+      return alive.expired() ? TransformResult::Stop(SealedStatus())
+                             : Transform(aPresent);
     },
-    [this, alive = std::weak_ptr(m_alive)](const absl::StatusOr<KeyValueEntry>& aEntry) {
+    [this, alive = std::weak_ptr(m_alive)](
+      const absl::StatusOr<KeyValueEntry>& aEntry) {
       if (!alive.expired()) {
         Finish(aEntry);
       }
@@ -64,7 +70,8 @@
   if (aPresent.has_value()) {
     // Seen once, the key is gone only when a recovery has removed it.
     m_created = true;
-    const absl::StatusOr<LedgerValue> present = LedgerValue::FromJson(*aPresent);
+    const absl::StatusOr<LedgerValue> present =
+      LedgerValue::FromJson(*aPresent);
     if (!present.ok() || present->m_sealed) {
       return TransformResult::Stop(SealedStatus());
     }
--- a/lib/Budget/Recovery.cpp
+++ b/lib/Budget/Recovery.cpp
@@ -20,8 +20,10 @@
       continue;
     }
     through = charge.m_sequence;
-    auto doubled = aLedger.m_doubled.find(DoubledName(charge.m_account, charge.m_key));
-    const bool isBilled = doubled != aLedger.m_doubled.end() && doubled->second > 0;
+    auto doubled =
+      aLedger.m_doubled.find(DoubledName(charge.m_account, charge.m_key));
+    const bool isBilled =
+      doubled != aLedger.m_doubled.end() && doubled->second > 0;
     if (isBilled) {
       continue;
     }
@@ -34,7 +36,9 @@
 
 } // namespace
 
-Recovery::Recovery(KeyValueHooks aKeyValue, TimerHooks aTimers, RecoveryHooks aHooks)
+Recovery::Recovery(KeyValueHooks aKeyValue,
+                   TimerHooks aTimers,
+                   RecoveryHooks aHooks)
   : m_keyValue(std::move(aKeyValue))
   , m_timers(std::move(aTimers))
   , m_hooks(std::move(aHooks))
@@ -72,12 +76,15 @@
     m_keyValue,
     m_timers,
     LedgerKey(aHolder),
-    [transform = std::move(aTransform)](const std::optional<std::string>& aPresent) {
+    [transform =
+       std::move(aTransform)](const std::optional<std::string>& aPresent) {
       if (!aPresent.has_value()) {
-        return TransformResult::Stop(absl::NotFoundError("the holder is closed"));
+        return TransformResult::Stop(
+          absl::NotFoundError("the holder is closed"));
       }
       absl::StatusOr<LedgerValue> ledger = LedgerValue::FromJson(*aPresent);
-      return ledger.ok() ? transform(*ledger) : TransformResult::Stop(ledger.status());
+      return ledger.ok() ? transform(*ledger)
+                         : TransformResult::Stop(ledger.status());
     },
     [this, alive = std::weak_ptr(m_alive), aHolder, then = std::move(aThen)](
       const absl::StatusOr<KeyValueEntry>& aEntry) {
@@ -124,17 +131,19 @@
   Case& recovered = m_cases.at(aHolder);
   for (const UpstreamId& upstream : m_hooks.m_upstreams()) {
     auto known = recovered.m_agents.find(upstream);
-    const bool isDone = known != recovered.m_agents.end() && known->second.m_running.empty();
+    const bool isDone =
+      known != recovered.m_agents.end() && known->second.m_running.empty();
     if (!isDone) {
       m_hooks.m_send(upstream, SealRequest{ aHolder });
     }
   }
   CloseReady(aHolder);
-  m_timers.m_after(kAskAgainInterval, [this, alive = std::weak_ptr(m_alive), aHolder] {
-    if (!alive.expired()) {
-      AskAgents(aHolder);
-    }
-  });
+  m_timers.m_after(kAskAgainInterval,
+                   [this, alive = std::weak_ptr(m_alive), aHolder] {
+                     if (!alive.expired()) {
+                       AskAgents(aHolder);
+                     }
+                   });
 }
 
 void
@@ -162,8 +171,10 @@
     return;
   }
   const std::set<AccountId>& marked = recovered.m_ledger.m_closed;
-  const bool allMarked =
-    std::includes(marked.begin(), marked.end(), recovered.m_released.begin(), recovered.m_released.end());
+  const bool allMarked = std::includes(marked.begin(),
+                                       marked.end(),
+                                       recovered.m_released.begin(),
+                                       recovered.m_released.end());
   if (recovered.m_collected.empty() && allMarked) {
     CloseReady(aHolder);
     return;
@@ -181,7 +192,10 @@
     },
     [this, aHolder, collected](Case& aCase) {
       for (const auto& [upstream, reply] : collected) {
-        m_hooks.m_send(upstream, Settled{ aHolder, reply.m_agent, aCase.m_ledger.m_through[reply.m_agent] });
+        m_hooks.m_send(upstream,
+                       Settled{ aHolder,
+                                reply.m_agent,
+                                aCase.m_ledger.m_through[reply.m_agent] });
       }
       Step(aHolder);
     });
@@ -191,15 +205,18 @@
 Recovery::IsReady(const Case& aCase, const AccountId& aAccount) const
 {
   const std::set<UpstreamId> upstreams = m_hooks.m_upstreams();
-  return std::all_of(upstreams.begin(), upstreams.end(), [&](const UpstreamId& aUpstream) {
-    auto agent = aCase.m_agents.find(aUpstream);
-    if (agent == aCase.m_agents.end() || agent->second.m_running.contains(aAccount)) {
-      return false;
-    }
-    auto through = aCase.m_ledger.m_through.find(agent->second.m_agent);
-    const std::uint64_t merged = through == aCase.m_ledger.m_through.end() ? 0 : through->second;
-    return merged >= agent->second.m_lastSequence;
-  });
+  return std::all_of(
+    upstreams.begin(), upstreams.end(), [&](const UpstreamId& aUpstream) {
+      auto agent = aCase.m_agents.find(aUpstream);
+      if (agent == aCase.m_agents.end() ||
+          agent->second.m_running.contains(aAccount)) {
+        return false;
+      }
+      auto through = aCase.m_ledger.m_through.find(agent->second.m_agent);
+      const std::uint64_t merged =
+        through == aCase.m_ledger.m_through.end() ? 0 : through->second;
+      return merged >= agent->second.m_lastSequence;
+    });
 }
 
 void
@@ -211,27 +228,36 @@
   }
   std::vector<AccountId> ready;
   for (const auto& [account, charged] : recovered.m_ledger.m_charged) {
-    const bool isTaken = recovered.m_ledger.m_closed.contains(account) || recovered.m_closing.contains(account);
+    const bool isTaken = recovered.m_ledger.m_closed.contains(account) ||
+                         recovered.m_closing.contains(account);
     if (!isTaken && IsReady(recovered, account)) {
       ready.push_back(account);
     }
   }
   std::stable_partition(
-    ready.begin(), ready.end(), [this](const AccountId& aAccount) { return m_hurried.contains(aAccount); });
+    ready.begin(), ready.end(), [this](const AccountId& aAccount) {
+      return m_hurried.contains(aAccount);
+    });
   recovered.m_closing.insert(ready.begin(), ready.end());
   for (const AccountId& account : ready) {
     Close(aHolder, account);
   }
-  const bool isOver = std::all_of(
-    recovered.m_ledger.m_charged.begin(), recovered.m_ledger.m_charged.end(), [&](const auto& aItem) {
-      return recovered.m_ledger.m_closed.contains(aItem.first);
-    });
+  const bool isOver =
+    std::all_of(recovered.m_ledger.m_charged.begin(),
+                recovered.m_ledger.m_charged.end(),
+                [&](const auto& aItem) {
+                  return recovered.m_ledger.m_closed.contains(aItem.first);
+                });
   if (ready.empty() && isOver) {
-    RemoveLedger(m_keyValue, m_timers, aHolder, [this, alive = std::weak_ptr(m_alive), aHolder](const absl::Status&) {
-      if (!alive.expired()) {
-        Finish(aHolder);
-      }
-    });
+    RemoveLedger(
+      m_keyValue,
+      m_timers,
+      aHolder,
+      [this, alive = std::weak_ptr(m_alive), aHolder](const absl::Status&) {
+        if (!alive.expired()) {
+          Finish(aHolder);
+        }
+      });
   }
 }
 
@@ -241,8 +267,12 @@
   Case& recovered = m_cases.at(aHolder);
   CloseAccount(m_keyValue,
                m_timers,
-               { aAccount, aHolder, recovered.m_ledger.m_charged.at(aAccount), m_hooks.m_initialBudget(aAccount) },
-               [this, alive = std::weak_ptr(m_alive), aHolder, aAccount](const absl::Status& aStatus) {
+               { aAccount,
+                 aHolder,
+                 recovered.m_ledger.m_charged.at(aAccount),
+                 m_hooks.m_initialBudget(aAccount) },
+               [this, alive = std::weak_ptr(m_alive), aHolder, aAccount](
+                 const absl::Status& aStatus) {
                  if (alive.expired() || !m_cases.contains(aHolder)) {
                    return;
                  }
--- a/lib/Budget/Values.cpp
+++ b/lib/Budget/Values.cpp
@@ -41,9 +41,11 @@
 std::uint64_t
 Sum(const Amounts& aAmounts)
 {
-  return std::accumulate(aAmounts.begin(), aAmounts.end(), std::uint64_t{ 0 }, [](std::uint64_t aSum, const auto& aItem) {
-    return aSum + aItem.second;
-  });
+  return std::accumulate(
+    aAmounts.begin(),
+    aAmounts.end(),
+    std::uint64_t{ 0 },
+    [](std::uint64_t aSum, const auto& aItem) { return aSum + aItem.second; });
 }
 
 } // namespace
@@ -64,17 +66,19 @@
 BudgetValue::Available() const
 {
   const std::uint64_t gone = Drawn() + m_charged;
-  assert(gone <= Prepaid() && "a budget is never drawn beyond what was prepaid");
+  assert(gone <= Prepaid() &&
+         "a budget is never drawn beyond what was prepaid");
   return Prepaid() - gone;
 }
 
 std::string
 BudgetValue::ToJson() const
 {
-  return json{ { "top_ups", AmountsToJson(m_topUps) },
-               { "draws", AmountsToJson(m_draws) },
-               { "charged", m_charged } }
-    .dump();
+  return json{
+    { "top_ups", AmountsToJson(m_topUps) },
+    { "draws", AmountsToJson(m_draws) },
+    { "charged", m_charged }
+  }.dump();
 }
 
 absl::StatusOr<BudgetValue>
@@ -88,7 +92,8 @@
     budget.m_charged = value.at("charged").get<std::uint64_t>();
     return budget;
   } catch (const std::exception& error) {
-    return absl::DataLossError(absl::StrCat("budget value does not parse: ", error.what()));
+    return absl::DataLossError(
+      absl::StrCat("budget value does not parse: ", error.what()));
   }
 }
 
@@ -99,12 +104,13 @@
   for (const AccountId& account : m_closed) {
     closed.push_back(account.Str());
   }
-  return json{ { "sealed", m_sealed },
-               { "charged", AmountsToJson(m_charged) },
-               { "through", AmountsToJson(m_through) },
-               { "doubled", AmountsToJson(m_doubled) },
-               { "closed", closed } }
-    .dump();
+  return json{
+    { "sealed", m_sealed },
+    { "charged", AmountsToJson(m_charged) },
+    { "through", AmountsToJson(m_through) },
+    { "doubled", AmountsToJson(m_doubled) },
+    { "closed", closed }
+  }.dump();
 }
 
 absl::StatusOr<LedgerValue>
@@ -122,7 +128,8 @@
     }
     return ledger;
   } catch (const std::exception& error) {
-    return absl::DataLossError(absl::StrCat("ledger value does not parse: ", error.what()));
+    return absl::DataLossError(
+      absl::StrCat("ledger value does not parse: ", error.what()));
   }
 }
 
--- a/lib/Config/Checks.cpp
+++ b/lib/Config/Checks.cpp
@@ -42,7 +42,8 @@
 std::string
 Finding::Str() const
 {
-  return absl::StrCat(m_file, ": ", m_pointer.empty() ? "/" : m_pointer, ": ", m_text);
+  return absl::StrCat(
+    m_file, ": ", m_pointer.empty() ? "/" : m_pointer, ": ", m_text);
 }
 
 absl::StatusOr<json>
@@ -50,12 +51,14 @@
 {
   std::ifstream file(aPath);
   if (!file) {
-    return absl::NotFoundError(absl::StrCat(aPath, ": cannot be read; check the path"));
+    return absl::NotFoundError(
+      absl::StrCat(aPath, ": cannot be read; check the path"));
   }
   try {
     return json::parse(file);
   } catch (const json::parse_error& error) {
-    return absl::InvalidArgumentError(absl::StrCat(aPath, ": is not JSON: ", error.what()));
+    return absl::InvalidArgumentError(
+      absl::StrCat(aPath, ": is not JSON: ", error.what()));
   }
 }
 
@@ -86,7 +89,8 @@
   if (content.is_discarded()) {
     return { { aName, "", "is not JSON" } };
   }
-  std::vector<Finding> findings = CheckSchema(content, ConfigurationSchema(), aName);
+  std::vector<Finding> findings =
+    CheckSchema(content, ConfigurationSchema(), aName);
   if (!findings.empty()) {
     // Checks across values need values of the right shape.
     return findings;
@@ -100,14 +104,16 @@
   MergedConfiguration merged;
   absl::StatusOr<json> base = ReadJsonFile(aBasePath);
   if (!base.ok()) {
-    merged.m_findings.push_back({ aBasePath, "", std::string(base.status().message()) });
+    merged.m_findings.push_back(
+      { aBasePath, "", std::string(base.status().message()) });
     return merged;
   }
   json overlay = json::object();
   if (!aOverlayPath.empty()) {
     absl::StatusOr<json> read = ReadJsonFile(aOverlayPath);
     if (!read.ok()) {
-      merged.m_findings.push_back({ aOverlayPath, "", std::string(read.status().message()) });
+      merged.m_findings.push_back(
+        { aOverlayPath, "", std::string(read.status().message()) });
       return merged;
     }
     overlay = *read;
--- a/lib/Config/ConfigStore.cpp
+++ b/lib/Config/ConfigStore.cpp
@@ -10,7 +10,8 @@
 absl::Status
 ConfigStore::Offer(const std::string& aDocument)
 {
-  absl::StatusOr<Configuration> configuration = Configuration::FromDocument(aDocument);
+  absl::StatusOr<Configuration> configuration =
+    Configuration::FromDocument(aDocument);
   if (!configuration.ok()) {
     return configuration.status();
   }
--- a/lib/Config/ConfigWatcher.cpp
+++ b/lib/Config/ConfigWatcher.cpp
@@ -23,13 +23,17 @@
 void
 ConfigWatcher::Wait(std::uint64_t aRevision)
 {
-  m_keyValue.m_watch(kConfigKey, aRevision, [this, aRevision](const absl::StatusOr<KeyValueEntry>& aEntry) {
-    Answered(aRevision, aEntry);
-  });
+  m_keyValue.m_watch(
+    kConfigKey,
+    aRevision,
+    [this, aRevision](const absl::StatusOr<KeyValueEntry>& aEntry) {
+      Answered(aRevision, aEntry);
+    });
 }
 
 void
-ConfigWatcher::Answered(std::uint64_t aAsked, const absl::StatusOr<KeyValueEntry>& aEntry)
+ConfigWatcher::Answered(std::uint64_t aAsked,
+                        const absl::StatusOr<KeyValueEntry>& aEntry)
 {
   if (!aEntry.ok()) {
     m_timers.m_after(kRetryInterval, [this, aAsked] { Wait(aAsked); });
--- a/lib/Config/Configuration.cpp
+++ b/lib/Config/Configuration.cpp
@@ -23,7 +23,8 @@
 {
   AdmissionOptions options;
   options.m_slots = aPool.value("slots", options.m_slots);
-  options.m_slotsKeptForShort = aPool.value("slots_kept_for_short", options.m_slotsKeptForShort);
+  options.m_slotsKeptForShort =
+    aPool.value("slots_kept_for_short", options.m_slotsKeptForShort);
   options.m_maxWaiting = aPool.value("max_waiting", options.m_maxWaiting);
   options.m_shortTokens = aPool.value("short_tokens", options.m_shortTokens);
   return options;
@@ -35,7 +36,8 @@
   for (const auto& [name, account] : aContent.at("accounts").items()) {
     const AccountId id(name);
     AccountConfig parsed;
-    parsed.m_budgetTokens = account.value("budget_tokens", parsed.m_budgetTokens);
+    parsed.m_budgetTokens =
+      account.value("budget_tokens", parsed.m_budgetTokens);
     parsed.m_weight = account.value("weight", parsed.m_weight);
     aConfiguration.m_accounts.emplace(id, parsed);
     for (const json& hash : account.at("api_key_sha256")) {
@@ -70,7 +72,8 @@
   for (const auto& [name, model] : aContent.at("models").items()) {
     aConfiguration.m_models.emplace(
       name,
-      ModelConfig{ model.at("pool").get<std::string>(), model.at("max_output_tokens").get<std::uint64_t>() });
+      ModelConfig{ model.at("pool").get<std::string>(),
+                   model.at("max_output_tokens").get<std::uint64_t>() });
   }
 }
 
@@ -81,10 +84,11 @@
     ServiceConfig parsed;
     parsed.m_pool = service.at("pool").get<std::string>();
     for (const json& call : service.at("calls")) {
-      parsed.m_calls.push_back({ call.at("method").get<std::string>(),
-                                 call.at("path").get<std::string>(),
-                                 call.at("repeatable").get<bool>(),
-                                 call.value("cost_tokens", std::uint64_t{ 0 }) });
+      parsed.m_calls.push_back(
+        { call.at("method").get<std::string>(),
+          call.at("path").get<std::string>(),
+          call.at("repeatable").get<bool>(),
+          call.value("cost_tokens", std::uint64_t{ 0 }) });
     }
     aConfiguration.m_services.emplace(name, std::move(parsed));
   }
@@ -96,9 +100,12 @@
   const json limits = aContent.value("limits", json::object());
   LimitsConfig& parsed = aConfiguration.m_limits;
   parsed.m_maxBodyBytes = limits.value("max_body_bytes", parsed.m_maxBodyBytes);
-  parsed.m_defaultOutputTokens = limits.value("default_output_tokens", parsed.m_defaultOutputTokens);
-  parsed.m_requestTimeoutMilliseconds = limits.value("request_timeout_ms", parsed.m_requestTimeoutMilliseconds);
-  parsed.m_maxRequestsUnderWay = limits.value("max_requests_under_way", parsed.m_maxRequestsUnderWay);
+  parsed.m_defaultOutputTokens =
+    limits.value("default_output_tokens", parsed.m_defaultOutputTokens);
+  parsed.m_requestTimeoutMilliseconds =
+    limits.value("request_timeout_ms", parsed.m_requestTimeoutMilliseconds);
+  parsed.m_maxRequestsUnderWay =
+    limits.value("max_requests_under_way", parsed.m_maxRequestsUnderWay);
 }
 
 } // namespace
@@ -106,9 +113,10 @@
 const ServiceCallConfig*
 ServiceConfig::Find(const std::string& aMethod, const std::string& aPath) const
 {
-  auto found = std::find_if(m_calls.begin(), m_calls.end(), [&](const ServiceCallConfig& aCall) {
-    return aCall.m_method == aMethod && aCall.m_path == aPath;
-  });
+  auto found = std::find_if(
+    m_calls.begin(), m_calls.end(), [&](const ServiceCallConfig& aCall) {
+      return aCall.m_method == aMethod && aCall.m_path == aPath;
+    });
   return found == m_calls.end() ? nullptr : &*found;
 }
 
@@ -129,7 +137,8 @@
     ParseLimits(content, configuration);
     return configuration;
   } catch (const std::exception& error) {
-    return absl::DataLossError(absl::StrCat("configuration does not parse: ", error.what()));
+    return absl::DataLossError(
+      absl::StrCat("configuration does not parse: ", error.what()));
   }
 }
 
--- a/lib/Config/CrossChecks.cpp
+++ b/lib/Config/CrossChecks.cpp
@@ -37,9 +37,11 @@
   for (const auto& [name, object] : aContent.at(aSection).items()) {
     const auto pool = object.at("pool").get<std::string>();
     if (!pools.contains(pool)) {
-      aFindings.push_back({ aFile,
-                            absl::StrCat("/", aSection, Token(name), "/pool"),
-                            absl::StrCat("unknown pool \"", pool, "\"; allowed: ", NamesOf(pools)) });
+      aFindings.push_back(
+        { aFile,
+          absl::StrCat("/", aSection, Token(name), "/pool"),
+          absl::StrCat(
+            "unknown pool \"", pool, "\"; allowed: ", NamesOf(pools)) });
     }
   }
 }
@@ -48,7 +50,9 @@
 class OnceOnly
 {
 public:
-  OnceOnly(std::string aWhat, std::string aFile, std::vector<Finding>& aFindings)
+  OnceOnly(std::string aWhat,
+           std::string aFile,
+           std::vector<Finding>& aFindings)
     : m_what(std::move(aWhat))
     , m_file(std::move(aFile))
     , m_findings(&aFindings)
@@ -59,8 +63,12 @@
   {
     auto [entry, isNew] = m_seen.emplace(aValue, aPointer);
     if (!isNew) {
-      m_findings->push_back(
-        { m_file, aPointer, absl::StrCat(m_what, " stands already at ", entry->second, "; give each its own") });
+      m_findings->push_back({ m_file,
+                              aPointer,
+                              absl::StrCat(m_what,
+                                           " stands already at ",
+                                           entry->second,
+                                           "; give each its own") });
     }
   }
 
@@ -72,41 +80,54 @@
 };
 
 void
-CheckKeysOnce(const json& aContent, const std::string& aFile, std::vector<Finding>& aFindings)
+CheckKeysOnce(const json& aContent,
+              const std::string& aFile,
+              std::vector<Finding>& aFindings)
 {
   OnceOnly keys("duplicate API key hash: it", aFile, aFindings);
   for (const auto& [name, account] : aContent.at("accounts").items()) {
     std::size_t index = 0;
     for (const json& hash : account.at("api_key_sha256")) {
-      keys.See(hash.get<std::string>(), absl::StrCat("/accounts", Token(name), "/api_key_sha256/", index++));
+      keys.See(
+        hash.get<std::string>(),
+        absl::StrCat("/accounts", Token(name), "/api_key_sha256/", index++));
     }
   }
 }
 
 void
-CheckUpstreamsOnce(const json& aContent, const std::string& aFile, std::vector<Finding>& aFindings)
+CheckUpstreamsOnce(const json& aContent,
+                   const std::string& aFile,
+                   std::vector<Finding>& aFindings)
 {
   OnceOnly names("duplicate upstream: its name", aFile, aFindings);
   OnceOnly addresses("duplicate agent address: it", aFile, aFindings);
   for (const auto& [poolName, pool] : aContent.at("pools").items()) {
     for (const auto& [name, upstream] : pool.at("upstreams").items()) {
-      const std::string pointer = absl::StrCat("/pools", Token(poolName), "/upstreams", Token(name));
+      const std::string pointer =
+        absl::StrCat("/pools", Token(poolName), "/upstreams", Token(name));
       names.See(name, pointer);
-      addresses.See(upstream.at("agent").get<std::string>(), pointer + "/agent");
+      addresses.See(upstream.at("agent").get<std::string>(),
+                    pointer + "/agent");
     }
   }
 }
 
 void
-CheckSlots(const json& aContent, const std::string& aFile, std::vector<Finding>& aFindings)
+CheckSlots(const json& aContent,
+           const std::string& aFile,
+           std::vector<Finding>& aFindings)
 {
   for (const auto& [name, pool] : aContent.at("pools").items()) {
     const int slots = pool.value("slots", 8);
     const int kept = pool.value("slots_kept_for_short", 2);
     if (kept >= slots) {
-      aFindings.push_back({ aFile,
-                            absl::StrCat("/pools", Token(name), "/slots_kept_for_short"),
-                            absl::StrCat(kept, " leaves no slot for long work; allowed: 0 to ", slots - 1) });
+      aFindings.push_back(
+        { aFile,
+          absl::StrCat("/pools", Token(name), "/slots_kept_for_short"),
+          absl::StrCat(kept,
+                       " leaves no slot for long work; allowed: 0 to ",
+                       slots - 1) });
     }
   }
 }
@@ -122,7 +143,10 @@
     const std::string pointer = aPointer + Token(name);
     if (!aBase.contains(name)) {
       aFindings.push_back(
-        { aFile, pointer, absl::StrCat("the base has no such member; allowed here: ", NamesOf(aBase)) });
+        { aFile,
+          pointer,
+          absl::StrCat("the base has no such member; allowed here: ",
+                       NamesOf(aBase)) });
       continue;
     }
     if (value.is_object() && aBase.at(name).is_object()) {
@@ -146,7 +170,9 @@
 }
 
 std::vector<Finding>
-CheckOverlayNames(const json& aBase, const json& aOverlay, const std::string& aFile)
+CheckOverlayNames(const json& aBase,
+                  const json& aOverlay,
+                  const std::string& aFile)
 {
   std::vector<Finding> findings;
   if (!aBase.is_object() || !aOverlay.is_object()) {
--- a/lib/Config/CrossChecks.h
+++ b/lib/Config/CrossChecks.h
@@ -14,6 +14,8 @@
 
 /// Findings on members that \p aOverlay names and \p aBase does not have.
 std::vector<Finding>
-CheckOverlayNames(const nlohmann::json& aBase, const nlohmann::json& aOverlay, const std::string& aFile);
+CheckOverlayNames(const nlohmann::json& aBase,
+                  const nlohmann::json& aOverlay,
+                  const std::string& aFile);
 
 } // namespace bergamotpaddle
--- a/lib/Config/ProcessSettings.cpp
+++ b/lib/Config/ProcessSettings.cpp
@@ -12,7 +12,8 @@
 Parse(const json& aValue)
 {
   ProcessSettings settings;
-  settings.m_role = aValue.at("role") == "agent" ? ProcessRole::kAgent : ProcessRole::kRouter;
+  settings.m_role =
+    aValue.at("role") == "agent" ? ProcessRole::kAgent : ProcessRole::kRouter;
   settings.m_name = aValue.at("name").get<std::string>();
   settings.m_zone = aValue.at("zone").get<std::string>();
   settings.m_http = aValue.at("http").get<std::string>();
@@ -43,7 +44,8 @@
   LoadedSettings loaded;
   const absl::StatusOr<json> value = ReadJsonFile(aPath);
   if (!value.ok()) {
-    loaded.m_findings.push_back({ aPath, "", std::string(value.status().message()) });
+    loaded.m_findings.push_back(
+      { aPath, "", std::string(value.status().message()) });
     return loaded;
   }
   loaded.m_findings = CheckSchema(*value, ProcessSettingsSchema(), aPath);
@@ -52,10 +54,15 @@
   }
   loaded.m_settings = Parse(*value);
   if (loaded.m_settings.m_listen.empty()) {
-    loaded.m_findings.push_back({ aPath, "/listen", "is missing; allowed: IP:port for links of the fleet" });
+    loaded.m_findings.push_back(
+      { aPath,
+        "/listen",
+        "is missing; allowed: IP:port for links of the fleet" });
   }
-  if (loaded.m_settings.m_role == ProcessRole::kAgent && !value->contains("upstream")) {
-    loaded.m_findings.push_back({ aPath, "/upstream", "is missing; an agent needs name, kind and url" });
+  if (loaded.m_settings.m_role == ProcessRole::kAgent &&
+      !value->contains("upstream")) {
+    loaded.m_findings.push_back(
+      { aPath, "/upstream", "is missing; an agent needs name, kind and url" });
   }
   return loaded;
 }
@@ -64,7 +71,8 @@
 SplitHostPort(const std::string& aText)
 {
   const std::size_t colon = aText.rfind(':');
-  return { aText.substr(0, colon), static_cast<std::uint16_t>(std::stoul(aText.substr(colon + 1))) };
+  return { aText.substr(0, colon),
+           static_cast<std::uint16_t>(std::stoul(aText.substr(colon + 1))) };
 }
 
 } // namespace bergamotpaddle
--- a/lib/Daemon/AgentRole.cpp
+++ b/lib/Daemon/AgentRole.cpp
@@ -25,13 +25,15 @@
   explicit AgentRole(const ProcessSettings& aSettings)
     : m_settings(aSettings)
     , m_shell(aSettings)
-    , m_agent(m_settings.m_upstream.m_name.Str() + "-" + RandomHex(kLifeIdBytes))
-    , m_journal(m_shell.Services().Add<Journal>("journal",
-                                                JournalOptions{},
-                                                m_agent,
-                                                m_shell.KeyValue(),
-                                                m_shell.Loop().Timers(),
-                                                Journal::WallClock(WallMilliseconds)))
+    , m_agent(m_settings.m_upstream.m_name.Str() + "-" +
+              RandomHex(kLifeIdBytes))
+    , m_journal(
+        m_shell.Services().Add<Journal>("journal",
+                                        JournalOptions{},
+                                        m_agent,
+                                        m_shell.KeyValue(),
+                                        m_shell.Loop().Timers(),
+                                        Journal::WallClock(WallMilliseconds)))
     , m_node(m_shell.Services().Add<AgentNode>(service_name::kDecisions,
                                                MakeOptions(),
                                                m_shell.Loop().Timers(),
@@ -45,11 +47,15 @@
   {
     RoleHooks hooks;
     hooks.m_opened = [this](LinkId aLink) { m_node.OnOpened(aLink); };
-    hooks.m_message = [this](LinkId aLink, const Message& aMessage) { m_node.OnMessage(aLink, aMessage); };
+    hooks.m_message = [this](LinkId aLink, const Message& aMessage) {
+      m_node.OnMessage(aLink, aMessage);
+    };
     hooks.m_closed = [this](LinkId aLink) { m_node.OnClosed(aLink); };
     hooks.m_metrics = [this](MetricsText& aMetrics) { Metrics(aMetrics); };
     hooks.m_statusJson = [this] { return Status(); };
-    hooks.m_isReady = [this] { return !m_node.Core().IsDraining() && m_isHealthy; };
+    hooks.m_isReady = [this] {
+      return !m_node.Core().IsDraining() && m_isHealthy;
+    };
     hooks.m_stop = [this] {
       m_node.SetStopping();
       StopWhenIdle();
@@ -75,8 +81,12 @@
   AgentNodeHooks MakeHooks()
   {
     AgentNodeHooks hooks;
-    hooks.m_agent.m_send = [this](PeerId aPeer, const Message& aMessage) { m_shell.Send(aPeer, aMessage); };
-    hooks.m_agent.m_start = [this](RunId aRun, const Dispatch& aDispatch) { m_client->Start(aRun, aDispatch); };
+    hooks.m_agent.m_send = [this](PeerId aPeer, const Message& aMessage) {
+      m_shell.Send(aPeer, aMessage);
+    };
+    hooks.m_agent.m_start = [this](RunId aRun, const Dispatch& aDispatch) {
+      m_client->Start(aRun, aDispatch);
+    };
     hooks.m_agent.m_cancel = [this](RunId aRun) { m_client->Cancel(aRun); };
     hooks.m_agent.m_event = m_shell.Events();
     hooks.m_close = [this](PeerId aPeer) {
@@ -87,12 +97,16 @@
 
   std::unique_ptr<UpstreamClient> MakeClient()
   {
-    HttpClient& http = m_shell.Services().Find<HttpClient>(service_name::kHttpClient);
+    HttpClient& http =
+      m_shell.Services().Find<HttpClient>(service_name::kHttpClient);
     UpstreamHooks hooks;
-    hooks.m_data = [this](RunId aRun, const std::string& aBytes, std::uint64_t aTokens) {
-      m_node.Core().OnUpstreamData(aRun, aBytes, aTokens);
+    hooks.m_data =
+      [this](RunId aRun, const std::string& aBytes, std::uint64_t aTokens) {
+        m_node.Core().OnUpstreamData(aRun, aBytes, aTokens);
+      };
+    hooks.m_end = [this](RunId aRun, const UpstreamOutcome& aOutcome) {
+      m_node.Core().OnUpstreamEnd(aRun, aOutcome);
     };
-    hooks.m_end = [this](RunId aRun, const UpstreamOutcome& aOutcome) { m_node.Core().OnUpstreamEnd(aRun, aOutcome); };
     const UpstreamSettings& upstream = m_settings.m_upstream;
     return upstream.m_isEngine ? MakeEngineClient(http, upstream.m_url, hooks)
                                : MakeServiceClient(http, upstream.m_url, hooks);
@@ -103,10 +117,12 @@
     HttpCall call;
     call.m_url = m_settings.m_upstream.m_url + "/healthz";
     call.m_totalTimeout = kHealthTimeout;
-    m_shell.Services().Find<HttpClient>(service_name::kHttpClient).Start(call, [this](const HttpReply& aReply) {
-      JudgeHealth(aReply.m_status == 200);
-      m_shell.Loop().After(kHealthInterval, [this] { CheckHealth(); });
-    });
+    m_shell.Services()
+      .Find<HttpClient>(service_name::kHttpClient)
+      .Start(call, [this](const HttpReply& aReply) {
+        JudgeHealth(aReply.m_status == 200);
+        m_shell.Loop().After(kHealthInterval, [this] { CheckHealth(); });
+      });
   }
 
   void JudgeHealth(bool aIsGood)
@@ -117,8 +133,11 @@
     }
     m_checksAgainst = 0;
     m_isHealthy = aIsGood;
-    m_shell.Events()(
-      { aIsGood ? "upstream_healthy" : "upstream_unhealthy", "", "", m_settings.m_upstream.m_name.Str(), "" });
+    m_shell.Events()({ aIsGood ? "upstream_healthy" : "upstream_unhealthy",
+                       "",
+                       "",
+                       m_settings.m_upstream.m_name.Str(),
+                       "" });
     m_node.SetUpstreamHealthy(aIsGood);
   }
 
@@ -134,27 +153,35 @@
   std::string Status() const
   {
     const Heartbeat heartbeat = m_node.MakeHeartbeat();
-    return json{ { "process", m_settings.m_name },
-                 { "role", "agent" },
-                 { "zone", m_settings.m_zone },
-                 { "upstream", m_settings.m_upstream.m_name.Str() },
-                 { "agent", m_agent.Str() },
-                 { "config_version", heartbeat.m_configVersion },
-                 { "draining", heartbeat.m_draining },
-                 { "healthy", heartbeat.m_upstreamHealthy },
-                 { "running", heartbeat.m_running },
-                 { "waiting", heartbeat.m_waiting } }
-      .dump();
+    return json{
+      { "process", m_settings.m_name },
+      { "role", "agent" },
+      { "zone", m_settings.m_zone },
+      { "upstream", m_settings.m_upstream.m_name.Str() },
+      { "agent", m_agent.Str() },
+      { "config_version", heartbeat.m_configVersion },
+      { "draining", heartbeat.m_draining },
+      { "healthy", heartbeat.m_upstreamHealthy },
+      { "running", heartbeat.m_running },
+      { "waiting", heartbeat.m_waiting }
+    }.dump();
   }
 
   void Metrics(MetricsText& aMetrics) const
   {
     const Heartbeat heartbeat = m_node.MakeHeartbeat();
-    aMetrics.Single("running", "gauge", "Runs at the upstream.", heartbeat.m_running);
-    aMetrics.Single("waiting", "gauge", "Runs that wait for a slot.", heartbeat.m_waiting);
-    aMetrics.Single("upstream_healthy", "gauge", "1 if the health check passes.", m_isHealthy ? 1 : 0);
     aMetrics.Single(
-      "config_version", "gauge", "Configuration in force.", static_cast<double>(heartbeat.m_configVersion));
+      "running", "gauge", "Runs at the upstream.", heartbeat.m_running);
+    aMetrics.Single(
+      "waiting", "gauge", "Runs that wait for a slot.", heartbeat.m_waiting);
+    aMetrics.Single("upstream_healthy",
+                    "gauge",
+                    "1 if the health check passes.",
+                    m_isHealthy ? 1 : 0);
+    aMetrics.Single("config_version",
+                    "gauge",
+                    "Configuration in force.",
+                    static_cast<double>(heartbeat.m_configVersion));
   }
 
   ProcessSettings m_settings;
--- a/lib/Daemon/CallerApi.cpp
+++ b/lib/Daemon/CallerApi.cpp
@@ -29,7 +29,8 @@
     return std::nullopt;
   }
   // Looked up by its digest: the time taken tells nothing about stored keys.
-  auto found = aConfiguration.m_accountsByKeyHash.find(Sha256Hex(header.substr(kBearerPrefix.size())));
+  auto found = aConfiguration.m_accountsByKeyHash.find(
+    Sha256Hex(header.substr(kBearerPrefix.size())));
   if (found == aConfiguration.m_accountsByKeyHash.end()) {
     return std::nullopt;
   }
@@ -39,7 +40,9 @@
 bool
 IsPrintable(const std::string& aText)
 {
-  return std::all_of(aText.begin(), aText.end(), [](unsigned char aChar) { return aChar > ' ' && aChar < 127; });
+  return std::all_of(aText.begin(), aText.end(), [](unsigned char aChar) {
+    return aChar > ' ' && aChar < 127;
+  });
 }
 
 /// Answers a plain service's call.
@@ -61,17 +64,24 @@
 } // namespace
 
 void
-SendFailure(const HttpResponderPtr& aResponder, ResultCode aCode, Ran aRan, const std::string& aMessage)
+SendFailure(const HttpResponderPtr& aResponder,
+            ResultCode aCode,
+            Ran aRan,
+            const std::string& aMessage)
 {
   const ResultCodeInfo& info = Describe(aCode);
   HttpHeaders headers;
   if (info.m_retryAfterSeconds > 0) {
-    headers.emplace_back("Retry-After", std::to_string(info.m_retryAfterSeconds));
+    headers.emplace_back("Retry-After",
+                         std::to_string(info.m_retryAfterSeconds));
   }
-  aResponder->SendJson(info.m_httpStatus, FailureJson(aCode, aRan, aMessage), std::move(headers));
+  aResponder->SendJson(
+    info.m_httpStatus, FailureJson(aCode, aRan, aMessage), std::move(headers));
 }
 
-CallerApi::CallerApi(RouterCore& aRouter, std::string aBootId, std::function<void(std::function<void()>)> aPost)
+CallerApi::CallerApi(RouterCore& aRouter,
+                     std::string aBootId,
+                     std::function<void(std::function<void()>)> aPost)
   : m_router(&aRouter)
   , m_bootId(std::move(aBootId))
   , m_post(std::move(aPost))
@@ -85,14 +95,16 @@
 }
 
 void
-CallerApi::Handle(const HttpRequest& aRequest, const HttpResponderPtr& aResponder)
+CallerApi::Handle(const HttpRequest& aRequest,
+                  const HttpResponderPtr& aResponder)
 {
   const Configuration& configuration = m_router->Current();
   if (configuration.m_version == 0) {
     SendFailure(aResponder, ResultCode::kNotConfigured, Ran::kNo);
     return;
   }
-  const std::optional<AccountId> account = Authenticate(aRequest, configuration);
+  const std::optional<AccountId> account =
+    Authenticate(aRequest, configuration);
   if (!account.has_value()) {
     SendFailure(aResponder, ResultCode::kUnauthorized, Ran::kNo);
     return;
@@ -109,15 +121,18 @@
     SendFailure(aResponder, ResultCode::kBodyTooLarge, Ran::kNo);
     return;
   }
-  if (m_router->Requests().UnderWay() >= configuration.m_limits.m_maxRequestsUnderWay) {
+  if (m_router->Requests().UnderWay() >=
+      configuration.m_limits.m_maxRequestsUnderWay) {
     SendFailure(aResponder, ResultCode::kOverloaded, Ran::kNo);
     return;
   }
-  if (aRequest.m_path == "/v1/chat/completions" && aRequest.m_method == "POST") {
+  if (aRequest.m_path == "/v1/chat/completions" &&
+      aRequest.m_method == "POST") {
     HandleChat(aRequest, *account, aResponder);
     return;
   }
-  if (aRequest.m_path.starts_with(kServicePrefix) && aRequest.m_method == "POST") {
+  if (aRequest.m_path.starts_with(kServicePrefix) &&
+      aRequest.m_method == "POST") {
     HandleService(aRequest, *account, aResponder);
     return;
   }
@@ -129,9 +144,12 @@
 {
   json models = json::array();
   for (const auto& [name, model] : m_router->Current().m_models) {
-    models.push_back({ { "id", name }, { "object", "model" }, { "owned_by", "bergamotpaddle" } });
+    models.push_back({ { "id", name },
+                       { "object", "model" },
+                       { "owned_by", "bergamotpaddle" } });
   }
-  aResponder->SendJson(200, json{ { "object", "list" }, { "data", models } }.dump());
+  aResponder->SendJson(200,
+                       json{ { "object", "list" }, { "data", models } }.dump());
 }
 
 bool
@@ -139,33 +157,48 @@
 {
   const std::string key = aRequest.Header("idempotency-key");
   if (key.empty()) {
-    aDispatch.m_key = RequestKey(absl::StrCat(std::string(1, kOwnKeyMark), m_bootId, "-", ++m_lastOwnKey));
+    aDispatch.m_key = RequestKey(
+      absl::StrCat(std::string(1, kOwnKeyMark), m_bootId, "-", ++m_lastOwnKey));
     aDispatch.m_keyed = false;
     return true;
   }
   aDispatch.m_key = RequestKey(key);
   aDispatch.m_keyed = true;
-  return key.size() <= kMaxKeyBytes && IsPrintable(key) && key.front() != kOwnKeyMark;
+  return key.size() <= kMaxKeyBytes && IsPrintable(key) &&
+         key.front() != kOwnKeyMark;
 }
 
 void
-CallerApi::HandleChat(const HttpRequest& aRequest, const AccountId& aAccount, const HttpResponderPtr& aResponder)
+CallerApi::HandleChat(const HttpRequest& aRequest,
+                      const AccountId& aAccount,
+                      const HttpResponderPtr& aResponder)
 {
   const Configuration& configuration = m_router->Current();
-  const absl::StatusOr<ChatRequest> parsed = ParseChatRequest(aRequest.m_body, configuration);
+  const absl::StatusOr<ChatRequest> parsed =
+    ParseChatRequest(aRequest.m_body, configuration);
   if (absl::IsNotFound(parsed.status())) {
-    SendFailure(aResponder, ResultCode::kUnknownModel, Ran::kNo, std::string(parsed.status().message()));
+    SendFailure(aResponder,
+                ResultCode::kUnknownModel,
+                Ran::kNo,
+                std::string(parsed.status().message()));
     return;
   }
   if (!parsed.ok()) {
-    SendFailure(aResponder, ResultCode::kMalformedRequest, Ran::kNo, std::string(parsed.status().message()));
+    SendFailure(aResponder,
+                ResultCode::kMalformedRequest,
+                Ran::kNo,
+                std::string(parsed.status().message()));
     return;
   }
   NewRequest request;
   request.m_pool = configuration.m_models.at(parsed->m_model).m_pool;
   Dispatch& dispatch = request.m_dispatch;
   if (!SetKey(aRequest, dispatch)) {
-    SendFailure(aResponder, ResultCode::kInvalidHeader, Ran::kNo, "Idempotency-Key must be 1 to 200 printable characters and not begin with ~");
+    SendFailure(aResponder,
+                ResultCode::kInvalidHeader,
+                Ran::kNo,
+                "Idempotency-Key must be 1 to 200 printable characters and not "
+                "begin with ~");
     return;
   }
   dispatch.m_account = aAccount;
@@ -181,7 +214,9 @@
 }
 
 void
-CallerApi::HandleService(const HttpRequest& aRequest, const AccountId& aAccount, const HttpResponderPtr& aResponder)
+CallerApi::HandleService(const HttpRequest& aRequest,
+                         const AccountId& aAccount,
+                         const HttpResponderPtr& aResponder)
 {
   const Configuration& configuration = m_router->Current();
   const std::string rest = aRequest.m_path.substr(kServicePrefix.size());
@@ -190,16 +225,25 @@
   const std::string path = slash == rest.size() ? "/" : rest.substr(slash);
   auto service = configuration.m_services.find(name);
   const ServiceCallConfig* call =
-    service == configuration.m_services.end() ? nullptr : service->second.Find(aRequest.m_method, path);
+    service == configuration.m_services.end()
+      ? nullptr
+      : service->second.Find(aRequest.m_method, path);
   if (call == nullptr) {
-    SendFailure(aResponder, ResultCode::kUnknownService, Ran::kNo, absl::StrCat("no call POST ", path, " at service ", name));
+    SendFailure(aResponder,
+                ResultCode::kUnknownService,
+                Ran::kNo,
+                absl::StrCat("no call POST ", path, " at service ", name));
     return;
   }
   NewRequest request;
   request.m_pool = service->second.m_pool;
   Dispatch& dispatch = request.m_dispatch;
   if (!SetKey(aRequest, dispatch)) {
-    SendFailure(aResponder, ResultCode::kInvalidHeader, Ran::kNo, "Idempotency-Key must be 1 to 200 printable characters and not begin with ~");
+    SendFailure(aResponder,
+                ResultCode::kInvalidHeader,
+                Ran::kNo,
+                "Idempotency-Key must be 1 to 200 printable characters and not "
+                "begin with ~");
     return;
   }
   if (!call->m_repeatable && !dispatch.m_keyed) {
@@ -207,7 +251,8 @@
     return;
   }
   dispatch.m_account = aAccount;
-  dispatch.m_fingerprint = Sha256Hex(absl::StrCat("service\n", name, "\n", path, "\n", aRequest.m_body));
+  dispatch.m_fingerprint = Sha256Hex(
+    absl::StrCat("service\n", name, "\n", path, "\n", aRequest.m_body));
   dispatch.m_kind = WorkKind::kServiceCall;
   dispatch.m_target = name;
   dispatch.m_method = aRequest.m_method;
--- a/lib/Daemon/ChatAnswer.cpp
+++ b/lib/Daemon/ChatAnswer.cpp
@@ -14,7 +14,9 @@
 std::int64_t
 SecondsNow()
 {
-  return std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+  return std::chrono::duration_cast<std::chrono::seconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
 }
 
 std::string
@@ -35,7 +37,9 @@
 class ChatAnswer
 {
 public:
-  ChatAnswer(HttpResponderPtr aResponder, const ChatRequest& aRequest, const RequestKey& aKey)
+  ChatAnswer(HttpResponderPtr aResponder,
+             const ChatRequest& aRequest,
+             const RequestKey& aKey)
     : m_responder(std::move(aResponder))
     , m_stream(aRequest.m_stream)
     , m_model(aRequest.m_model)
@@ -61,7 +65,8 @@
       return;
     }
     EnsureStarted();
-    m_responder->Write(Chunk(json::object(), aEnd.m_finishReason, Usage(aEnd)) + "data: [DONE]\n\n");
+    m_responder->Write(Chunk(json::object(), aEnd.m_finishReason, Usage(aEnd)) +
+                       "data: [DONE]\n\n");
     m_responder->End();
   }
 
@@ -72,7 +77,8 @@
       return;
     }
     // The status has gone out; the error takes the place of the closing [DONE].
-    m_responder->Write("data: " + FailureJson(aFailure.m_code, aFailure.m_ran, "") + "\n\n");
+    m_responder->Write(
+      "data: " + FailureJson(aFailure.m_code, aFailure.m_ran, "") + "\n\n");
     m_responder->End();
   }
 
@@ -83,19 +89,27 @@
       return;
     }
     m_started = true;
-    m_responder->Start(200, "text/event-stream", { { "Cache-Control", "no-cache" } });
+    m_responder->Start(
+      200, "text/event-stream", { { "Cache-Control", "no-cache" } });
     m_responder->Write(Chunk({ { "role", "assistant" } }, nullptr, nullptr));
   }
 
   json Envelope(const char* aObject) const
   {
-    return { { "id", m_id }, { "object", aObject }, { "created", m_created }, { "model", m_model } };
+    return { { "id", m_id },
+             { "object", aObject },
+             { "created", m_created },
+             { "model", m_model } };
   }
 
-  std::string Chunk(const json& aDelta, const json& aFinishReason, const json& aUsage) const
+  std::string Chunk(const json& aDelta,
+                    const json& aFinishReason,
+                    const json& aUsage) const
   {
     json chunk = Envelope("chat.completion.chunk");
-    chunk["choices"] = json::array({ { { "index", 0 }, { "delta", aDelta }, { "finish_reason", aFinishReason } } });
+    chunk["choices"] = json::array({ { { "index", 0 },
+                                       { "delta", aDelta },
+                                       { "finish_reason", aFinishReason } } });
     if (!aUsage.is_null()) {
       chunk["usage"] = aUsage;
     }
@@ -105,9 +119,10 @@
   json Whole(const AnswerEnd& aEnd) const
   {
     json whole = Envelope("chat.completion");
-    whole["choices"] = json::array({ { { "index", 0 },
-                                       { "message", { { "role", "assistant" }, { "content", m_text } } },
-                                       { "finish_reason", aEnd.m_finishReason } } });
+    whole["choices"] = json::array(
+      { { { "index", 0 },
+          { "message", { { "role", "assistant" }, { "content", m_text } } },
+          { "finish_reason", aEnd.m_finishReason } } });
     whole["usage"] = Usage(aEnd);
     return whole;
   }
@@ -124,23 +139,30 @@
 } // namespace
 
 CallerHooks
-MakeChatHooks(const HttpResponderPtr& aResponder, const ChatRequest& aRequest, const RequestKey& aKey)
+MakeChatHooks(const HttpResponderPtr& aResponder,
+              const ChatRequest& aRequest,
+              const RequestKey& aKey)
 {
   auto answer = std::make_shared<ChatAnswer>(aResponder, aRequest, aKey);
   return { [answer](const std::string& aBytes) { answer->Data(aBytes); },
            [answer](const AnswerEnd& aEnd) { answer->End(aEnd); },
-           [answer](const RequestFailure& aFailure) { answer->Fail(aFailure); } };
+           [answer](const RequestFailure& aFailure) {
+             answer->Fail(aFailure);
+           } };
 }
 
 std::string
 FailureJson(ResultCode aCode, Ran aRan, const std::string& aMessage)
 {
   const ResultCodeInfo& info = Describe(aCode);
-  const json body = { { "error",
-                        { { "code", static_cast<int>(aCode) },
-                          { "name", std::string(info.m_name) },
-                          { "message", aMessage.empty() ? std::string(info.m_meaning) : aMessage },
-                          { "ran", std::string(RanName(aRan)) } } } };
+  const json body = {
+    { "error",
+      { { "code", static_cast<int>(aCode) },
+        { "name", std::string(info.m_name) },
+        { "message",
+          aMessage.empty() ? std::string(info.m_meaning) : aMessage },
+        { "ran", std::string(RanName(aRan)) } } }
+  };
   return Dump(body);
 }
 
--- a/lib/Daemon/ChatAnswer.h
+++ b/lib/Daemon/ChatAnswer.h
@@ -12,7 +12,9 @@
 
 /// Hooks that write to \p aResponder.
 CallerHooks
-MakeChatHooks(const HttpResponderPtr& aResponder, const ChatRequest& aRequest, const RequestKey& aKey);
+MakeChatHooks(const HttpResponderPtr& aResponder,
+              const ChatRequest& aRequest,
+              const RequestKey& aKey);
 
 /// The JSON body of a failure. An empty \p aMessage takes the table's meaning.
 std::string
--- a/lib/Daemon/ChatRequest.cpp
+++ b/lib/Daemon/ChatRequest.cpp
@@ -17,10 +17,13 @@
 {
   std::uint64_t bound = 0;
   for (const json& message : aMessages) {
-    const bool isShaped = message.is_object() && message.contains("role") && message["role"].is_string() &&
-                          message.contains("content") && message["content"].is_string();
+    const bool isShaped = message.is_object() && message.contains("role") &&
+                          message["role"].is_string() &&
+                          message.contains("content") &&
+                          message["content"].is_string();
     if (!isShaped) {
-      return absl::InvalidArgumentError("each of messages needs a role and a content, both strings");
+      return absl::InvalidArgumentError(
+        "each of messages needs a role and a content, both strings");
     }
     // A token stands for at least one byte.
     bound += message["content"].get_ref<const std::string&>().size();
@@ -46,10 +49,13 @@
   request.m_model = body["model"].get<std::string>();
   auto model = aConfiguration.m_models.find(request.m_model);
   if (model == aConfiguration.m_models.end()) {
-    return absl::NotFoundError(absl::StrCat("unknown model ", request.m_model, "; GET /v1/models lists them"));
+    return absl::NotFoundError(absl::StrCat(
+      "unknown model ", request.m_model, "; GET /v1/models lists them"));
   }
-  if (!body.contains("messages") || !body["messages"].is_array() || body["messages"].empty()) {
-    return absl::InvalidArgumentError("messages must be a list with at least one message");
+  if (!body.contains("messages") || !body["messages"].is_array() ||
+      body["messages"].empty()) {
+    return absl::InvalidArgumentError(
+      "messages must be a list with at least one message");
   }
   const absl::StatusOr<std::uint64_t> bound = PromptBound(body["messages"]);
   if (!bound.ok()) {
@@ -57,12 +63,15 @@
   }
   request.m_promptBound = *bound;
   const std::uint64_t most = model->second.m_maxOutputTokens;
-  request.m_maxTokens = std::min(aConfiguration.m_limits.m_defaultOutputTokens, most);
+  request.m_maxTokens =
+    std::min(aConfiguration.m_limits.m_defaultOutputTokens, most);
   if (body.contains("max_tokens")) {
-    const bool isAllowed = body["max_tokens"].is_number_unsigned() && body["max_tokens"].get<std::uint64_t>() >= 1 &&
+    const bool isAllowed = body["max_tokens"].is_number_unsigned() &&
+                           body["max_tokens"].get<std::uint64_t>() >= 1 &&
                            body["max_tokens"].get<std::uint64_t>() <= most;
     if (!isAllowed) {
-      return absl::InvalidArgumentError(absl::StrCat("max_tokens must be an integer from 1 to ", most));
+      return absl::InvalidArgumentError(
+        absl::StrCat("max_tokens must be an integer from 1 to ", most));
     }
     request.m_maxTokens = body["max_tokens"].get<std::uint64_t>();
   }
--- a/lib/Daemon/RouterRole.cpp
+++ b/lib/Daemon/RouterRole.cpp
@@ -26,7 +26,9 @@
            { "zone", aAgent.m_config.m_zone },
            { "up", aAgent.m_isUp },
            { "takes_work", aAgent.MayTakeWork() },
-           { "draining", aAgent.m_heartbeat.m_draining || aAgent.m_config.m_drained || aAgent.m_leaving },
+           { "draining",
+             aAgent.m_heartbeat.m_draining || aAgent.m_config.m_drained ||
+               aAgent.m_leaving },
            { "healthy", aAgent.m_heartbeat.m_upstreamHealthy },
            { "slow", aIsSlow },
            { "outstanding", aAgent.m_outstanding },
@@ -52,7 +54,9 @@
         service_name::kCallers,
         m_core,
         m_settings.m_name + "-" + m_bootId,
-        [this](std::function<void()> aTask) { m_shell.Loop().Post(std::move(aTask)); }))
+        [this](std::function<void()> aTask) {
+          m_shell.Loop().Post(std::move(aTask));
+        }))
   {
   }
 
@@ -60,9 +64,12 @@
   {
     RoleHooks hooks;
     hooks.m_opened = [this](LinkId aLink) { m_core.OnOpened(aLink); };
-    hooks.m_message = [this](LinkId aLink, const Message& aMessage) { m_core.OnMessage(aLink, aMessage); };
+    hooks.m_message = [this](LinkId aLink, const Message& aMessage) {
+      m_core.OnMessage(aLink, aMessage);
+    };
     hooks.m_closed = [this](LinkId aLink) { m_core.OnClosed(aLink); };
-    hooks.m_request = [this](const HttpRequest& aRequest, const HttpResponderPtr& aResponder) {
+    hooks.m_request = [this](const HttpRequest& aRequest,
+                             const HttpResponderPtr& aResponder) {
       m_callers.Handle(aRequest, aResponder);
     };
     hooks.m_metrics = [this](MetricsText& aMetrics) { Metrics(aMetrics); };
@@ -83,7 +90,8 @@
     options.m_process = m_settings.m_name;
     options.m_zone = m_settings.m_zone;
     options.m_balancer.m_zone = m_settings.m_zone;
-    options.m_seed = m_settings.m_seed != 0 ? m_settings.m_seed : PlacementHash(m_bootId);
+    options.m_seed =
+      m_settings.m_seed != 0 ? m_settings.m_seed : PlacementHash(m_bootId);
     options.m_peerAddresses = m_settings.m_peers;
     return options;
   }
@@ -92,10 +100,16 @@
   {
     LinkHub& links = m_shell.Services().Find<LinkHub>(service_name::kLinks);
     RouterHooks hooks;
-    hooks.m_send = [this](PeerId aPeer, const Message& aMessage) { return m_shell.Send(aPeer, aMessage); };
-    hooks.m_dial = [&links](const std::string& aAddress) { return links.Dial(aAddress); };
+    hooks.m_send = [this](PeerId aPeer, const Message& aMessage) {
+      return m_shell.Send(aPeer, aMessage);
+    };
+    hooks.m_dial = [&links](const std::string& aAddress) {
+      return links.Dial(aAddress);
+    };
     hooks.m_close = [&links](PeerId aPeer) { links.Close(aPeer); };
-    hooks.m_newHolder = [this] { return HolderId(m_settings.m_name + "-" + RandomHex(kBootIdBytes)); };
+    hooks.m_newHolder = [this] {
+      return HolderId(m_settings.m_name + "-" + RandomHex(kBootIdBytes));
+    };
     hooks.m_event = m_shell.Events();
     return hooks;
   }
@@ -107,17 +121,21 @@
     }
     HttpCall call;
     call.m_url = m_settings.m_hostList;
-    m_shell.Services().Find<HttpClient>(service_name::kHttpClient).Start(call, [this](const HttpReply& aReply) {
-      const json list = json::parse(aReply.m_body, nullptr, false);
-      if (aReply.m_status == 200 && list.is_object() && list.contains("leaving") && list["leaving"].is_array()) {
-        std::set<UpstreamId> leaving;
-        for (const json& name : list["leaving"]) {
-          leaving.insert(UpstreamId(name.is_string() ? name.get<std::string>() : ""));
+    m_shell.Services()
+      .Find<HttpClient>(service_name::kHttpClient)
+      .Start(call, [this](const HttpReply& aReply) {
+        const json list = json::parse(aReply.m_body, nullptr, false);
+        if (aReply.m_status == 200 && list.is_object() &&
+            list.contains("leaving") && list["leaving"].is_array()) {
+          std::set<UpstreamId> leaving;
+          for (const json& name : list["leaving"]) {
+            leaving.insert(
+              UpstreamId(name.is_string() ? name.get<std::string>() : ""));
+          }
+          m_core.SetLeaving(leaving);
         }
-        m_core.SetLeaving(leaving);
-      }
-      m_shell.Loop().After(kHostListInterval, [this] { PollHostList(); });
-    });
+        m_shell.Loop().After(kHostListInterval, [this] { PollHostList(); });
+      });
   }
 
   void Stop()
@@ -136,7 +154,8 @@
       agents.push_back(AgentJson(id, agent, IsSlow(agent)));
     }
     json accounts = json::array();
-    for (const LedgerAccountSummary& account : m_core.CurrentLedger().Accounts()) {
+    for (const LedgerAccountSummary& account :
+         m_core.CurrentLedger().Accounts()) {
       accounts.push_back({ { "account", account.m_account.Str() },
                            { "drawn", account.m_drawn },
                            { "allotted", account.m_allotted },
@@ -144,29 +163,32 @@
     }
     json versions = json::array();
     for (const ProcessVersion& version : m_core.Versions()) {
-      versions.push_back({ { "process", version.m_process }, { "version", version.m_version } });
+      versions.push_back(
+        { { "process", version.m_process }, { "version", version.m_version } });
     }
-    return json{ { "process", m_settings.m_name },
-                 { "role", "router" },
-                 { "zone", m_settings.m_zone },
-                 { "holder", m_core.CurrentLedger().Holder().Str() },
-                 { "stopping", m_core.IsStopping() },
-                 { "config_version", m_core.Current().m_version },
-                 { "config_change", m_core.Current().m_changeId },
-                 { "requests_under_way", m_core.Requests().UnderWay() },
-                 { "open_attempts", m_core.Requests().OpenAttempts() },
-                 { "recoveries_under_way", m_core.RecoveriesUnderWay() },
-                 { "versions", versions },
-                 { "agents", agents },
-                 { "accounts", accounts } }
-      .dump();
+    return json{
+      { "process", m_settings.m_name },
+      { "role", "router" },
+      { "zone", m_settings.m_zone },
+      { "holder", m_core.CurrentLedger().Holder().Str() },
+      { "stopping", m_core.IsStopping() },
+      { "config_version", m_core.Current().m_version },
+      { "config_change", m_core.Current().m_changeId },
+      { "requests_under_way", m_core.Requests().UnderWay() },
+      { "open_attempts", m_core.Requests().OpenAttempts() },
+      { "recoveries_under_way", m_core.RecoveriesUnderWay() },
+      { "versions", versions },
+      { "agents", agents },
+      { "accounts", accounts }
+    }.dump();
   }
 
   bool IsSlow(const AgentView& aAgent) const
   {
     auto pool = m_core.Current().m_pools.find(aAgent.m_config.m_pool);
     return pool != m_core.Current().m_pools.end() &&
-           m_core.CurrentBalancer().IsSlow(m_core.Directory(), pool->second, aAgent);
+           m_core.CurrentBalancer().IsSlow(
+             m_core.Directory(), pool->second, aAgent);
   }
 
   void Metrics(MetricsText& aMetrics) const
@@ -174,20 +196,34 @@
     const RequestCounters& counters = m_core.Requests().Counters();
     aMetrics.Family("requests_total", "counter", "Requests by how they stand.")
       .Sample(static_cast<double>(counters.m_begun), { { "state", "begun" } })
-      .Sample(static_cast<double>(counters.m_completed), { { "state", "completed" } })
-      .Sample(static_cast<double>(counters.m_failed), { { "state", "failed" } });
-    aMetrics.Single("retries_total", "counter", "Attempts after the first.", static_cast<double>(counters.m_retries));
-    aMetrics.Single(
-      "resumed_total", "counter", "Requests carried on after an agent was lost.", static_cast<double>(counters.m_resumed));
+      .Sample(static_cast<double>(counters.m_completed),
+              { { "state", "completed" } })
+      .Sample(static_cast<double>(counters.m_failed),
+              { { "state", "failed" } });
+    aMetrics.Single("retries_total",
+                    "counter",
+                    "Attempts after the first.",
+                    static_cast<double>(counters.m_retries));
+    aMetrics.Single("resumed_total",
+                    "counter",
+                    "Requests carried on after an agent was lost.",
+                    static_cast<double>(counters.m_resumed));
     aMetrics.Single("stale_frames_total",
                     "counter",
                     "Frames that were late, crossed or repeated, and dropped.",
                     static_cast<double>(counters.m_staleFrames));
-    aMetrics.Single(
-      "requests_under_way", "gauge", "Requests under way.", static_cast<double>(m_core.Requests().UnderWay()));
-    aMetrics.Single("config_version", "gauge", "Configuration in force.", static_cast<double>(m_core.Current().m_version));
-    aMetrics.Single(
-      "recoveries_under_way", "gauge", "Ledgers under recovery.", static_cast<double>(m_core.RecoveriesUnderWay()));
+    aMetrics.Single("requests_under_way",
+                    "gauge",
+                    "Requests under way.",
+                    static_cast<double>(m_core.Requests().UnderWay()));
+    aMetrics.Single("config_version",
+                    "gauge",
+                    "Configuration in force.",
+                    static_cast<double>(m_core.Current().m_version));
+    aMetrics.Single("recoveries_under_way",
+                    "gauge",
+                    "Ledgers under recovery.",
+                    static_cast<double>(m_core.RecoveriesUnderWay()));
   }
 
   ProcessSettings m_settings;
--- a/lib/Events/EventRing.cpp
+++ b/lib/Events/EventRing.cpp
@@ -36,10 +36,13 @@
   const EventFields& fields = aEvent.m_fields;
   return (m_request.empty() || fields.m_request == m_request) &&
          (m_account.empty() || fields.m_account == m_account) &&
-         (m_upstream.empty() || fields.m_upstream == m_upstream) && aEvent.m_time >= m_since;
+         (m_upstream.empty() || fields.m_upstream == m_upstream) &&
+         aEvent.m_time >= m_since;
 }
 
-EventRing::EventRing(std::string aProcess, std::size_t aCapacity, LogicalClock& aClock)
+EventRing::EventRing(std::string aProcess,
+                     std::size_t aCapacity,
+                     LogicalClock& aClock)
   : m_process(std::move(aProcess))
   , m_capacity(aCapacity)
   , m_clock(&aClock)
@@ -60,9 +63,10 @@
 EventRing::Select(const EventFilter& aFilter) const
 {
   std::vector<Event> events;
-  std::copy_if(m_events.begin(), m_events.end(), std::back_inserter(events), [&](const Event& aEvent) {
-    return aFilter.Matches(aEvent);
-  });
+  std::copy_if(m_events.begin(),
+               m_events.end(),
+               std::back_inserter(events),
+               [&](const Event& aEvent) { return aFilter.Matches(aEvent); });
   return events;
 }
 
--- a/lib/Kernel/EventLoop.cpp
+++ b/lib/Kernel/EventLoop.cpp
@@ -32,14 +32,17 @@
 Instant
 EventLoop::Now() const
 {
-  return Instant(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - m_origin));
+  return Instant(std::chrono::duration_cast<Duration>(
+    std::chrono::steady_clock::now() - m_origin));
 }
 
 TimerHooks
 EventLoop::Timers()
 {
   return { [this] { return Now(); },
-           [this](Duration aDelay, Task aTask) { After(aDelay, std::move(aTask)); } };
+           [this](Duration aDelay, Task aTask) {
+             After(aDelay, std::move(aTask));
+           } };
 }
 
 void
@@ -76,8 +79,9 @@
 EventLoop::WaitForTasks(Instant aUntil, std::deque<Task>& aTasks)
 {
   std::unique_lock lock(m_mutex);
-  m_wake.wait_until(
-    lock, m_origin + aUntil.time_since_epoch(), [this] { return m_stopping || !m_posted.empty(); });
+  m_wake.wait_until(lock, m_origin + aUntil.time_since_epoch(), [this] {
+    return m_stopping || !m_posted.empty();
+  });
   if (m_stopping) {
     return false;
   }
--- a/lib/Logging/Log.cpp
+++ b/lib/Logging/Log.cpp
@@ -17,7 +17,9 @@
 class BareLayout : public log4cplus::Layout
 {
 public:
-  void formatAndAppend(log4cplus::tostream& aOutput, const log4cplus::spi::InternalLoggingEvent& aEvent) override
+  void formatAndAppend(
+    log4cplus::tostream& aOutput,
+    const log4cplus::spi::InternalLoggingEvent& aEvent) override
   {
     aOutput << aEvent.getMessage() << '\n';
   }
@@ -58,7 +60,8 @@
 std::string
 NowText()
 {
-  return log4cplus::helpers::getFormattedTime("%Y-%m-%dT%H:%M:%S.%qZ", log4cplus::helpers::now(), true);
+  return log4cplus::helpers::getFormattedTime(
+    "%Y-%m-%dT%H:%M:%S.%qZ", log4cplus::helpers::now(), true);
 }
 
 } // namespace
@@ -66,7 +69,8 @@
 LogLevel
 ParseLogLevel(const std::string& aName)
 {
-  for (LogLevel level : { LogLevel::kDebug, LogLevel::kWarn, LogLevel::kError }) {
+  for (LogLevel level :
+       { LogLevel::kDebug, LogLevel::kWarn, LogLevel::kError }) {
     if (aName == NameOf(level)) {
       return level;
     }
@@ -78,7 +82,8 @@
   : m_process(std::move(aProcess))
 {
   log4cplus::initialize();
-  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+  log4cplus::SharedAppenderPtr appender(
+    new log4cplus::ConsoleAppender(true, true));
   appender->setLayout(std::make_unique<BareLayout>());
   log4cplus::Logger root = log4cplus::Logger::getRoot();
   root.removeAllAppenders();
@@ -92,21 +97,26 @@
 }
 
 void
-Log::Write(LogLevel aLevel, const std::string& aEvent, const LogFields& aFields) const
+Log::Write(LogLevel aLevel,
+           const std::string& aEvent,
+           const LogFields& aFields) const
 {
   log4cplus::Logger root = log4cplus::Logger::getRoot();
   if (!root.isEnabledFor(ToLog4cplus(aLevel))) {
     return;
   }
-  nlohmann::ordered_json line = {
-    { "time", NowText() }, { "level", NameOf(aLevel) }, { "process", m_process }, { "event", aEvent }
-  };
+  nlohmann::ordered_json line = { { "time", NowText() },
+                                  { "level", NameOf(aLevel) },
+                                  { "process", m_process },
+                                  { "event", aEvent } };
   for (const auto& [name, value] : aFields) {
     if (!value.empty()) {
       line[name] = value;
     }
   }
-  root.log(ToLog4cplus(aLevel), line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
+  root.log(ToLog4cplus(aLevel),
+           line.dump(
+             -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
 }
 
 } // namespace bergamotpaddle
--- a/lib/Metrics/MetricsText.cpp
+++ b/lib/Metrics/MetricsText.cpp
@@ -10,7 +10,8 @@
 std::string
 Quoted(const std::string& aValue)
 {
-  return nlohmann::json(aValue).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return nlohmann::json(aValue).dump(
+    -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 std::string
@@ -22,10 +23,13 @@
 } // namespace
 
 MetricsText&
-MetricsText::Family(const std::string& aName, const std::string& aType, const std::string& aHelp)
+MetricsText::Family(const std::string& aName,
+                    const std::string& aType,
+                    const std::string& aHelp)
 {
   m_family = "bergamotpaddle_" + aName;
-  m_text += "# HELP " + m_family + " " + aHelp + "\n# TYPE " + m_family + " " + aType + "\n";
+  m_text += "# HELP " + m_family + " " + aHelp + "\n# TYPE " + m_family + " " +
+            aType + "\n";
   return *this;
 }
 
@@ -43,7 +47,10 @@
 }
 
 MetricsText&
-MetricsText::Single(const std::string& aName, const std::string& aType, const std::string& aHelp, double aValue)
+MetricsText::Single(const std::string& aName,
+                    const std::string& aType,
+                    const std::string& aHelp,
+                    double aValue)
 {
   return Family(aName, aType, aHelp).Sample(aValue);
 }
--- a/lib/Net/FrameConnection.cpp
+++ b/lib/Net/FrameConnection.cpp
@@ -35,7 +35,8 @@
 
 } // namespace
 
-FrameConnection::FrameConnection(std::string aSecret, FrameConnectionHooks aHooks)
+FrameConnection::FrameConnection(std::string aSecret,
+                                 FrameConnectionHooks aHooks)
   : m_secret(std::move(aSecret))
   , m_hooks(std::move(aHooks))
   , m_ownNonce(RandomHex(kNonceBytes / 2))
@@ -161,7 +162,8 @@
   }
   const std::string peerNonce = m_unparsed.substr(0, kNonceBytes);
   m_unparsed.erase(0, kNonceBytes);
-  const std::string both = m_isDialer ? m_ownNonce + peerNonce : peerNonce + m_ownNonce;
+  const std::string both =
+    m_isDialer ? m_ownNonce + peerNonce : peerNonce + m_ownNonce;
   std::lock_guard lock(m_mutex);
   m_sessionKey = HmacSha256(m_secret, both);
   AppendFrame("");
@@ -202,7 +204,9 @@
 }
 
 std::string
-FrameConnection::Tag(bool aFromDialer, std::uint64_t aSequence, std::string_view aFrame) const
+FrameConnection::Tag(bool aFromDialer,
+                     std::uint64_t aSequence,
+                     std::string_view aFrame) const
 {
   std::string text;
   text.reserve(1 + sizeof(aSequence) + aFrame.size());
@@ -254,7 +258,8 @@
     return;
   }
   m_sendBusy = true;
-  nng_iov rest{ m_sending.data() + m_sentOfSending, m_sending.size() - m_sentOfSending };
+  nng_iov rest{ m_sending.data() + m_sentOfSending,
+                m_sending.size() - m_sentOfSending };
   nng_aio_set_iov(m_sendAio, 1, &rest);
   nng_stream_send(m_stream, m_sendAio);
 }
--- a/lib/Net/FrameConnection.h
+++ b/lib/Net/FrameConnection.h
@@ -56,7 +56,9 @@
   bool Consume();
   bool TakeNonce();
   bool TakeFrame(bool& aTook);
-  std::string Tag(bool aFromDialer, std::uint64_t aSequence, std::string_view aFrame) const;
+  std::string Tag(bool aFromDialer,
+                  std::uint64_t aSequence,
+                  std::string_view aFrame) const;
   void Fail();
 
   std::string m_secret;
--- a/lib/Net/FrameLink.cpp
+++ b/lib/Net/FrameLink.cpp
@@ -44,8 +44,11 @@
       failure = nng_stream_listener_listen(m_listener);
     }
     if (failure != 0) {
-      return absl::UnavailableError(
-        absl::StrCat("cannot listen on ", aAddress, ": ", nng_strerror(failure), "; choose a free address"));
+      return absl::UnavailableError(absl::StrCat("cannot listen on ",
+                                                 aAddress,
+                                                 ": ",
+                                                 nng_strerror(failure),
+                                                 "; choose a free address"));
     }
     nng_aio_alloc(&m_acceptAio, &Impl::OnAccepted, this);
     nng_stream_listener_accept(m_listener, m_acceptAio);
@@ -55,14 +58,15 @@
   LinkId Dial(const std::string& aAddress)
   {
     const LinkId id = ++m_lastId;
-    auto connection = std::make_unique<FrameConnection>(m_secret, MakeConnectionHooks(id));
+    auto connection =
+      std::make_unique<FrameConnection>(m_secret, MakeConnectionHooks(id));
     FrameConnection& made = *connection;
     m_connections.emplace(id, std::move(connection));
     made.Dial("tcp://" + aAddress);
     return id;
   }
 
-  bool Send(LinkId aLink, std::string aFrame)
+  bool Send(LinkId aLink, const std::string& aFrame)
   {
     auto found = m_connections.find(aLink);
     return found != m_connections.end() && found->second->Send(aFrame);
@@ -87,7 +91,8 @@
       return;
     }
     if (nng_aio_result(self->m_acceptAio) == 0) {
-      auto* stream = static_cast<nng_stream*>(nng_aio_get_output(self->m_acceptAio, 0));
+      auto* stream =
+        static_cast<nng_stream*>(nng_aio_get_output(self->m_acceptAio, 0));
       self->m_executor([weak = self->weak_from_this(), stream] {
         auto hub = weak.lock();
         if (hub == nullptr) {
@@ -103,7 +108,8 @@
   void Adopt(nng_stream* aStream)
   {
     const LinkId id = ++m_lastId;
-    auto connection = std::make_unique<FrameConnection>(m_secret, MakeConnectionHooks(id));
+    auto connection =
+      std::make_unique<FrameConnection>(m_secret, MakeConnectionHooks(id));
     FrameConnection& made = *connection;
     m_connections.emplace(id, std::move(connection));
     made.Accept(aStream);
@@ -111,7 +117,8 @@
 
   FrameConnectionHooks MakeConnectionHooks(LinkId aId)
   {
-    auto post = [weak = weak_from_this(), executor = m_executor](std::function<void(Impl&)> aTask) {
+    auto post = [weak = weak_from_this(),
+                 executor = m_executor](std::function<void(Impl&)> aTask) {
       executor([weak, task = std::move(aTask)] {
         if (auto hub = weak.lock()) {
           task(*hub);
@@ -123,7 +130,9 @@
       post([aId](Impl& aHub) { aHub.m_hooks.m_opened(aId); });
     };
     hooks.m_received = [post, aId](std::string aFrame) {
-      post([aId, frame = std::move(aFrame)](Impl& aHub) { aHub.m_hooks.m_received(aId, frame); });
+      post([aId, frame = std::move(aFrame)](Impl& aHub) {
+        aHub.m_hooks.m_received(aId, frame);
+      });
     };
     hooks.m_closed = [post, aId] {
       post([aId](Impl& aHub) {
@@ -149,7 +158,9 @@
 };
 
 LinkHub::LinkHub(std::string aSecret, Executor aExecutor, LinkHooks aHooks)
-  : m_impl(std::make_shared<Impl>(std::move(aSecret), std::move(aExecutor), std::move(aHooks)))
+  : m_impl(std::make_shared<Impl>(std::move(aSecret),
+                                  std::move(aExecutor),
+                                  std::move(aHooks)))
 {
 }
 
@@ -168,9 +179,9 @@
 }
 
 bool
-LinkHub::Send(LinkId aLink, std::string aFrame)
+LinkHub::Send(LinkId aLink, const std::string& aFrame)
 {
-  return m_impl->Send(aLink, std::move(aFrame));
+  return m_impl->Send(aLink, aFrame);
 }
 
 void
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -50,7 +50,8 @@
   const std::size_t bytes = aSize * aCount;
   if (transfer->m_onChunk && StatusOf(transfer->m_easy) == 200) {
     std::string chunk(aData, bytes);
-    (*transfer->m_executor)([hook = transfer->m_onChunk, chunk = std::move(chunk)] { hook(chunk); });
+    (*transfer->m_executor)(
+      [hook = transfer->m_onChunk, chunk = std::move(chunk)] { hook(chunk); });
     return bytes;
   }
   if (transfer->m_reply.m_body.size() + bytes > kMaxBodyBytes) {
@@ -71,8 +72,11 @@
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
-  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(call.m_connectTimeout.count()));
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.m_totalTimeout.count()));
+  curl_easy_setopt(easy,
+                   CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(call.m_connectTimeout.count()));
+  curl_easy_setopt(
+    easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.m_totalTimeout.count()));
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
   if (call.m_ownConnection) {
@@ -80,12 +84,16 @@
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
   }
   if (call.m_method != "GET") {
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.m_body.size()));
+    curl_easy_setopt(
+      easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.m_body.size()));
     curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.m_body.c_str());
   }
   for (const auto& [name, value] : call.m_headers) {
-    const std::string line = name + ": " + value;
-    aTransfer.m_headerList = curl_slist_append(aTransfer.m_headerList, line.c_str());
+    std::string line = name;
+    line += ": ";
+    line += value;
+    aTransfer.m_headerList =
+      curl_slist_append(aTransfer.m_headerList, line.c_str());
   }
   // Without this libcurl waits a second for "100 Continue" before large bodies.
   aTransfer.m_headerList = curl_slist_append(aTransfer.m_headerList, "Expect:");
@@ -208,7 +216,8 @@
         transfer.m_reply.m_status = static_cast<int>(StatusOf(easy));
       } else {
         transfer.m_reply.m_error = curl_easy_strerror(code);
-        transfer.m_reply.m_neverSent = code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
+        transfer.m_reply.m_neverSent =
+          code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
       }
       Finish(easy);
     }
@@ -221,7 +230,8 @@
     std::unique_ptr<Transfer> transfer = std::move(found->second);
     m_transfers.erase(found);
     m_byId.erase(transfer->m_id);
-    m_executor([hook = std::move(transfer->m_onDone), reply = std::move(transfer->m_reply)] { hook(reply); });
+    m_executor([hook = std::move(transfer->m_onDone),
+                reply = std::move(transfer->m_reply)] { hook(reply); });
   }
 
   Executor m_executor;
@@ -247,7 +257,8 @@
 HttpCallId
 HttpClient::Start(HttpCall aCall, DoneHook aOnDone, ChunkHook aOnChunk)
 {
-  return m_impl->Start(std::move(aCall), std::move(aOnDone), std::move(aOnChunk));
+  return m_impl->Start(
+    std::move(aCall), std::move(aOnDone), std::move(aOnChunk));
 }
 
 void
--- a/lib/Net/HttpConnection.cpp
+++ b/lib/Net/HttpConnection.cpp
@@ -66,7 +66,8 @@
   }
 }
 
-PistacheResponder::PistacheResponder(Pistache::Http::ResponseWriter aWriter, ReactorQueuePtr aQueue)
+PistacheResponder::PistacheResponder(Pistache::Http::ResponseWriter aWriter,
+                                     ReactorQueuePtr aQueue)
   : m_queue(std::move(aQueue))
   , m_peer(aWriter.peer())
   , m_writer(std::move(aWriter))
@@ -84,7 +85,8 @@
     std::optional<Pistache::Http::ResponseWriter> m_writer;
     std::optional<Pistache::Http::ResponseStream> m_stream;
   };
-  auto remains = std::make_shared<Remains>(Remains{ std::move(m_writer), std::move(m_stream) });
+  auto remains = std::make_shared<Remains>(
+    Remains{ std::move(m_writer), std::move(m_stream) });
   m_queue->Post([remains] {});
 }
 
@@ -101,16 +103,21 @@
 }
 
 void
-PistacheResponder::SetHeaders(const std::string& aContentType, const HttpHeaders& aHeaders)
+PistacheResponder::SetHeaders(const std::string& aContentType,
+                              const HttpHeaders& aHeaders)
 {
-  m_writer->headers().addRaw(Pistache::Http::Header::Raw("Content-Type", aContentType));
+  m_writer->headers().addRaw(
+    Pistache::Http::Header::Raw("Content-Type", aContentType));
   for (const auto& [name, value] : aHeaders) {
     m_writer->headers().addRaw(Pistache::Http::Header::Raw(name, value));
   }
 }
 
 void
-PistacheResponder::Send(int aStatus, std::string aBody, std::string aContentType, HttpHeaders aHeaders)
+PistacheResponder::Send(int aStatus,
+                        std::string aBody,
+                        std::string aContentType,
+                        HttpHeaders aHeaders)
 {
   PostIfAlive([this,
                aStatus,
@@ -124,11 +131,17 @@
 }
 
 void
-PistacheResponder::Start(int aStatus, std::string aContentType, HttpHeaders aHeaders)
+PistacheResponder::Start(int aStatus,
+                         std::string aContentType,
+                         HttpHeaders aHeaders)
 {
-  PostIfAlive([this, aStatus, type = std::move(aContentType), headers = std::move(aHeaders)] {
+  PostIfAlive([this,
+               aStatus,
+               type = std::move(aContentType),
+               headers = std::move(aHeaders)] {
     SetHeaders(type, headers);
-    m_stream.emplace(m_writer->stream(static_cast<Pistache::Http::Code>(aStatus)));
+    m_stream.emplace(
+      m_writer->stream(static_cast<Pistache::Http::Code>(aStatus)));
     m_stream->flush();
   });
 }
@@ -174,16 +187,17 @@
 void
 PistacheResponder::OnClosed(std::function<void()> aCallback)
 {
-  m_queue->Post([self = shared_from_this(), callback = std::move(aCallback)]() mutable {
-    if (self->m_ended) {
-      return;
-    }
-    if (self->m_left) {
-      callback();
-      return;
-    }
-    self->m_onClosed = std::move(callback);
-  });
+  m_queue->Post(
+    [self = shared_from_this(), callback = std::move(aCallback)]() mutable {
+      if (self->m_ended) {
+        return;
+      }
+      if (self->m_left) {
+        callback();
+        return;
+      }
+      self->m_onClosed = std::move(callback);
+    });
 }
 
 void
@@ -197,9 +211,10 @@
   }
 }
 
-ReactorTransport::ReactorTransport(const std::shared_ptr<Pistache::Tcp::Handler>& aHandler,
-                                   ConnectionCountPtr aCount,
-                                   ReactorTimeouts aTimeouts)
+ReactorTransport::ReactorTransport(
+  const std::shared_ptr<Pistache::Tcp::Handler>& aHandler,
+  ConnectionCountPtr aCount,
+  ReactorTimeouts aTimeouts)
   : Transport(aHandler)
   , m_handlerPrototype(aHandler)
   , m_count(std::move(aCount))
@@ -221,7 +236,8 @@
 std::shared_ptr<Pistache::Aio::Handler>
 ReactorTransport::clone() const
 {
-  return std::make_shared<ReactorTransport>(m_handlerPrototype->clone(), m_count, m_timeouts);
+  return std::make_shared<ReactorTransport>(
+    m_handlerPrototype->clone(), m_count, m_timeouts);
 }
 
 void
@@ -229,9 +245,11 @@
 {
   Transport::registerPoller(aPoller);
   for (int descriptor : { m_queue->Descriptor(), m_sweepTimer }) {
-    aPoller.addFd(descriptor,
-                  Pistache::Flags<Pistache::Polling::NotifyOn>(Pistache::Polling::NotifyOn::Read),
-                  Pistache::Polling::Tag(static_cast<std::uint64_t>(descriptor)));
+    aPoller.addFd(
+      descriptor,
+      Pistache::Flags<Pistache::Polling::NotifyOn>(
+        Pistache::Polling::NotifyOn::Read),
+      Pistache::Polling::Tag(static_cast<std::uint64_t>(descriptor)));
   }
 }
 
@@ -257,9 +275,11 @@
 {
   using Pistache::Polling::NotifyOn;
   Pistache::Polling::Event event(aEntry.getTag());
-  const std::pair<bool, NotifyOn> conditions[] = { { aEntry.isReadable(), NotifyOn::Read },
-                                                   { aEntry.isWritable(), NotifyOn::Write },
-                                                   { aEntry.isHangup(), NotifyOn::Hangup } };
+  const std::pair<bool, NotifyOn> conditions[] = {
+    { aEntry.isReadable(), NotifyOn::Read },
+    { aEntry.isWritable(), NotifyOn::Write },
+    { aEntry.isHangup(), NotifyOn::Hangup }
+  };
   for (const auto& [holds, flag] : conditions) {
     if (holds) {
       event.flags.setFlag(flag);
@@ -276,7 +296,8 @@
 }
 
 bool
-ReactorTransport::IsServing(const std::shared_ptr<Pistache::Tcp::Peer>& aPeer) const
+ReactorTransport::IsServing(
+  const std::shared_ptr<Pistache::Tcp::Peer>& aPeer) const
 {
   auto found = m_connections.find(aPeer->getID());
   return found != m_connections.end() && found->second.m_responder != nullptr &&
@@ -284,10 +305,12 @@
 }
 
 void
-ReactorTransport::RequestBegan(const std::shared_ptr<Pistache::Tcp::Peer>& aPeer,
-                               const std::shared_ptr<PistacheResponder>& aResponder)
+ReactorTransport::RequestBegan(
+  const std::shared_ptr<Pistache::Tcp::Peer>& aPeer,
+  const std::shared_ptr<PistacheResponder>& aResponder)
 {
-  m_connections[aPeer->getID()] = { aResponder, std::chrono::steady_clock::now() };
+  m_connections[aPeer->getID()] = { aResponder,
+                                    std::chrono::steady_clock::now() };
 }
 
 void
@@ -311,15 +334,18 @@
   Consume(m_sweepTimer);
   const auto now = std::chrono::steady_clock::now();
   for (const auto& peer : getAllPeer()) {
-    auto [entry, isNew] = m_connections.try_emplace(peer->getID(), Connection{ nullptr, now });
+    auto [entry, isNew] =
+      m_connections.try_emplace(peer->getID(), Connection{ nullptr, now });
     Connection& connection = entry->second;
-    const bool isServing = connection.m_responder != nullptr && !connection.m_responder->Ended();
+    const bool isServing =
+      connection.m_responder != nullptr && !connection.m_responder->Ended();
     if (isServing) {
       connection.m_lastProgress = now;
       continue;
     }
     // Without an answer so far the peer is still sending its first request.
-    const auto bound = connection.m_responder == nullptr ? m_timeouts.m_request : m_timeouts.m_idle;
+    const auto bound = connection.m_responder == nullptr ? m_timeouts.m_request
+                                                         : m_timeouts.m_idle;
     if (now - connection.m_lastProgress > bound) {
       shutdown(static_cast<int>(peer->fd()), SHUT_RDWR);
     }
--- a/lib/Net/HttpConnection.h
+++ b/lib/Net/HttpConnection.h
@@ -55,11 +55,17 @@
   , public std::enable_shared_from_this<PistacheResponder>
 {
 public:
-  PistacheResponder(Pistache::Http::ResponseWriter aWriter, ReactorQueuePtr aQueue);
+  PistacheResponder(Pistache::Http::ResponseWriter aWriter,
+                    ReactorQueuePtr aQueue);
   ~PistacheResponder() override;
 
-  void Send(int aStatus, std::string aBody, std::string aContentType, HttpHeaders aHeaders) override;
-  void Start(int aStatus, std::string aContentType, HttpHeaders aHeaders) override;
+  void Send(int aStatus,
+            std::string aBody,
+            std::string aContentType,
+            HttpHeaders aHeaders) override;
+  void Start(int aStatus,
+             std::string aContentType,
+             HttpHeaders aHeaders) override;
   void Write(std::string aChunk) override;
   void End() override;
   void Abort() override;
@@ -121,7 +127,8 @@
   ReactorTimeouts m_timeouts;
   ReactorQueuePtr m_queue;
   int m_sweepTimer;
-  std::unordered_map<std::size_t, Connection> m_connections; ///< By peer number.
+  std::unordered_map<std::size_t, Connection>
+    m_connections; ///< By peer number.
 };
 
 } // namespace bergamotpaddle
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -16,9 +16,10 @@
 std::string
 ToLower(std::string aText)
 {
-  std::transform(aText.begin(), aText.end(), aText.begin(), [](unsigned char aChar) {
-    return static_cast<char>(std::tolower(aChar));
-  });
+  std::transform(
+    aText.begin(), aText.end(), aText.begin(), [](unsigned char aChar) {
+      return static_cast<char>(std::tolower(aChar));
+    });
   return aText;
 }
 
@@ -29,7 +30,9 @@
   request.m_method = Pistache::Http::methodString(aRequest.method());
   request.m_path = aRequest.resource();
   request.m_body = aRequest.body();
-  for (auto it = aRequest.query().parameters_begin(); it != aRequest.query().parameters_end(); ++it) {
+  for (auto it = aRequest.query().parameters_begin();
+       it != aRequest.query().parameters_end();
+       ++it) {
     request.m_query.emplace(it->first, it->second);
   }
   for (const auto& [name, raw] : aRequest.headers().rawList()) {
@@ -60,7 +63,9 @@
 public:
   HTTP_PROTOTYPE(HttpHandler)
 
-  HttpHandler(const HttpServerOptions& aOptions, HttpServer::Handler aHandler, ConnectionCountPtr aCount)
+  HttpHandler(const HttpServerOptions& aOptions,
+              HttpServer::Handler aHandler,
+              ConnectionCountPtr aCount)
     : m_handler(std::move(aHandler))
     , m_count(std::move(aCount))
   {
@@ -68,7 +73,8 @@
     setMaxResponseSize(kMaxResponseBytes);
   }
 
-  void onRequest(const Pistache::Http::Request& aRequest, Pistache::Http::ResponseWriter aWriter) override
+  void onRequest(const Pistache::Http::Request& aRequest,
+                 Pistache::Http::ResponseWriter aWriter) override
   {
     auto* reactor = static_cast<ReactorTransport*>(transport());
     std::shared_ptr<Pistache::Tcp::Peer> peer = aWriter.peer();
@@ -77,12 +83,14 @@
       shutdown(static_cast<int>(peer->fd()), SHUT_RDWR);
       return;
     }
-    auto responder = std::make_shared<PistacheResponder>(std::move(aWriter), reactor->Queue());
+    auto responder =
+      std::make_shared<PistacheResponder>(std::move(aWriter), reactor->Queue());
     reactor->RequestBegan(peer, responder);
     m_handler(Translate(aRequest), responder);
   }
 
-  void onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer>& aPeer) override
+  void onDisconnection(
+    const std::shared_ptr<Pistache::Tcp::Peer>& aPeer) override
   {
     m_count->fetch_sub(1);
     static_cast<ReactorTransport*>(transport())->PeerLeft(aPeer);
@@ -115,19 +123,30 @@
   {
     try {
       m_listener.init(m_options.m_workers,
-                      Pistache::Flags<Pistache::Tcp::Options>(Pistache::Tcp::Options::ReuseAddr) |
+                      Pistache::Flags<Pistache::Tcp::Options>(
+                        Pistache::Tcp::Options::ReuseAddr) |
                         Pistache::Tcp::Options::NoDelay);
-      auto handler = std::make_shared<HttpHandler>(m_options, m_handler, m_count);
+      auto handler =
+        std::make_shared<HttpHandler>(m_options, m_handler, m_count);
       m_listener.setTransportFactory([handler, this] {
         return std::make_shared<ReactorTransport>(
-          handler, m_count, ReactorTimeouts{ m_options.m_requestTimeout, m_options.m_idleTimeout });
+          handler,
+          m_count,
+          ReactorTimeouts{ m_options.m_requestTimeout,
+                           m_options.m_idleTimeout });
       });
       m_listener.setHandler(handler);
-      m_listener.bind(Pistache::Address(m_options.m_address, Pistache::Port(m_options.m_port)));
+      m_listener.bind(Pistache::Address(m_options.m_address,
+                                        Pistache::Port(m_options.m_port)));
       m_listener.runThreaded();
     } catch (const std::exception& error) {
-      return absl::UnavailableError(absl::StrCat(
-        "cannot listen on ", m_options.m_address, ":", m_options.m_port, ": ", error.what(), "; choose a free address"));
+      return absl::UnavailableError(absl::StrCat("cannot listen on ",
+                                                 m_options.m_address,
+                                                 ":",
+                                                 m_options.m_port,
+                                                 ": ",
+                                                 error.what(),
+                                                 "; choose a free address"));
     }
     return absl::OkStatus();
   }
