--- a/lib/Operator/ConfigChange.cpp
+++ b/lib/Operator/ConfigChange.cpp
@@ -35,13 +35,15 @@
 
   void Read()
   {
-    m_keyValue.m_get(kConfigKey, [self = shared_from_this()](absl::StatusOr<KeyValueEntry> aEntry) {
-      if (!aEntry.ok()) {
-        self->Unclear(aEntry.status());
-        return;
-      }
-      self->Judge(*aEntry);
-    });
+    m_keyValue.m_get(
+      kConfigKey,
+      [self = shared_from_this()](absl::StatusOr<KeyValueEntry> aEntry) {
+        if (!aEntry.ok()) {
+          self->Unclear(aEntry.status());
+          return;
+        }
+        self->Judge(*aEntry);
+      });
   }
 
 private:
@@ -52,7 +54,8 @@
   {
     ConfigDocument current;
     if (aEntry.m_revision != 0) {
-      absl::StatusOr<ConfigDocument> parsed = ConfigDocument::FromJson(aEntry.m_value);
+      absl::StatusOr<ConfigDocument> parsed =
+        ConfigDocument::FromJson(aEntry.m_value);
       if (!parsed.ok()) {
         m_done(parsed.status());
         return;
@@ -72,23 +75,26 @@
 
   /// A write of ours had no answer and others have written since: whoever
   /// replaced version n put it under its version key first.
-  void FindOursInHistory(const ConfigDocument& aCurrent, const KeyValueEntry& aEntry)
+  void FindOursInHistory(const ConfigDocument& aCurrent,
+                         const KeyValueEntry& aEntry)
   {
-    m_keyValue.m_get(
-      VersionKey(m_triedVersion),
-      [self = shared_from_this(), aCurrent, aEntry](absl::StatusOr<KeyValueEntry> aOld) {
-        if (!aOld.ok()) {
-          self->Unclear(aOld.status());
-          return;
-        }
-        const absl::StatusOr<ConfigDocument> old = ConfigDocument::FromJson(aOld->m_value);
-        if (old.ok() && old->m_changeId == self->m_origin.m_changeId) {
-          self->m_done(*old);
-          return;
-        }
-        self->m_triedVersion = 0;
-        self->Prepared(aCurrent, aEntry);
-      });
+    m_keyValue.m_get(VersionKey(m_triedVersion),
+                     [self = shared_from_this(), aCurrent, aEntry](
+                       absl::StatusOr<KeyValueEntry> aOld) {
+                       if (!aOld.ok()) {
+                         self->Unclear(aOld.status());
+                         return;
+                       }
+                       const absl::StatusOr<ConfigDocument> old =
+                         ConfigDocument::FromJson(aOld->m_value);
+                       if (old.ok() &&
+                           old->m_changeId == self->m_origin.m_changeId) {
+                         self->m_done(*old);
+                         return;
+                       }
+                       self->m_triedVersion = 0;
+                       self->Prepared(aCurrent, aEntry);
+                     });
   }
 
   void Prepared(const ConfigDocument& aCurrent, const KeyValueEntry& aEntry)
@@ -112,13 +118,16 @@
     KeepOld(aCurrent, next, aEntry.m_revision);
   }
 
-  void KeepOld(const ConfigDocument& aCurrent, const ConfigDocument& aNext, std::uint64_t aRevision)
+  void KeepOld(const ConfigDocument& aCurrent,
+               const ConfigDocument& aNext,
+               std::uint64_t aRevision)
   {
     m_keyValue.m_compareAndSwap(
       VersionKey(aCurrent.m_version),
       0,
       aCurrent.ToJson(),
-      [self = shared_from_this(), aNext, aRevision](const absl::StatusOr<std::uint64_t>& aWritten) {
+      [self = shared_from_this(), aNext, aRevision](
+        const absl::StatusOr<std::uint64_t>& aWritten) {
         // Aborted: it is kept already; a version's document never changes.
         if (!aWritten.ok() && !absl::IsAborted(aWritten.status())) {
           self->Unclear(aWritten.status());
@@ -135,7 +144,8 @@
       kConfigKey,
       aRevision,
       aNext.ToJson(),
-      [self = shared_from_this(), aNext](const absl::StatusOr<std::uint64_t>& aWritten) {
+      [self = shared_from_this(),
+       aNext](const absl::StatusOr<std::uint64_t>& aWritten) {
         if (aWritten.ok()) {
           self->m_done(aNext);
           return;
@@ -151,9 +161,10 @@
   void Unclear(const absl::Status& aStatus)
   {
     if (++m_unclear >= kMaxUnclear) {
-      m_done(absl::UnavailableError(absl::StrCat(aStatus.message(),
-                                                 "; the change may or may not be in force: ask again with change id ",
-                                                 m_origin.m_changeId)));
+      m_done(absl::UnavailableError(absl::StrCat(
+        aStatus.message(),
+        "; the change may or may not be in force: ask again with change id ",
+        m_origin.m_changeId)));
       return;
     }
     m_timers.m_after(kPause, [self = shared_from_this()] { self->Read(); });
@@ -173,9 +184,11 @@
 std::string
 ConfigDocument::ToJson() const
 {
-  return json{ { "version", m_version },   { "change_id", m_changeId }, { "author", m_author },
-               { "time_ms", m_timeMs },    { "comment", m_comment },    { "content", m_content } }
-    .dump();
+  return json{
+    { "version", m_version }, { "change_id", m_changeId },
+    { "author", m_author },   { "time_ms", m_timeMs },
+    { "comment", m_comment }, { "content", m_content }
+  }.dump();
 }
 
 absl::StatusOr<ConfigDocument>
@@ -192,7 +205,8 @@
     document.m_content = value.at("content");
     return document;
   } catch (const std::exception& error) {
-    return absl::DataLossError(absl::StrCat("configuration document does not parse: ", error.what()));
+    return absl::DataLossError(
+      absl::StrCat("configuration document does not parse: ", error.what()));
   }
 }
 
@@ -200,7 +214,10 @@
 VersionKey(std::uint64_t aVersion)
 {
   const std::string digits = std::to_string(aVersion);
-  return "config/version/" + std::string(kVersionDigits - std::min(kVersionDigits, digits.size()), '0') + digits;
+  return "config/version/" +
+         std::string(kVersionDigits - std::min(kVersionDigits, digits.size()),
+                     '0') +
+         digits;
 }
 
 void
@@ -211,19 +228,26 @@
                ChangeOrigin aOrigin,
                ChangeDone aDone)
 {
-  auto prepare = [aExpectedVersion, content = std::move(aContent)](const ConfigDocument& aCurrent) -> absl::StatusOr<json> {
+  auto prepare = [aExpectedVersion, content = std::move(aContent)](
+                   const ConfigDocument& aCurrent) -> absl::StatusOr<json> {
     if (aCurrent.m_version != aExpectedVersion) {
-      return absl::AbortedError(absl::StrCat("version ",
-                                             aCurrent.m_version,
-                                             " by ",
-                                             aCurrent.m_author,
-                                             " (change ",
-                                             aCurrent.m_changeId,
-                                             ") came first; look at it and apply again"));
+      return absl::AbortedError(
+        absl::StrCat("version ",
+                     aCurrent.m_version,
+                     " by ",
+                     aCurrent.m_author,
+                     " (change ",
+                     aCurrent.m_changeId,
+                     ") came first; look at it and apply again"));
     }
     return content;
   };
-  std::make_shared<ChangeRun>(aKeyValue, aTimers, std::move(aOrigin), std::move(prepare), std::move(aDone))->Read();
+  std::make_shared<ChangeRun>(aKeyValue,
+                              aTimers,
+                              std::move(aOrigin),
+                              std::move(prepare),
+                              std::move(aDone))
+    ->Read();
 }
 
 void
@@ -233,9 +257,11 @@
             ChangeOrigin aOrigin,
             ChangeDone aDone)
 {
-  auto prepare = [edit = std::move(aEdit)](const ConfigDocument& aCurrent) -> absl::StatusOr<json> {
+  auto prepare = [edit = std::move(aEdit)](
+                   const ConfigDocument& aCurrent) -> absl::StatusOr<json> {
     if (aCurrent.m_version == 0) {
-      return absl::FailedPreconditionError("there is no configuration yet; apply one first");
+      return absl::FailedPreconditionError(
+        "there is no configuration yet; apply one first");
     }
     json content = aCurrent.m_content;
     const absl::Status edited = edit(content);
@@ -244,7 +270,12 @@
     }
     return content;
   };
-  std::make_shared<ChangeRun>(aKeyValue, aTimers, std::move(aOrigin), std::move(prepare), std::move(aDone))->Read();
+  std::make_shared<ChangeRun>(aKeyValue,
+                              aTimers,
+                              std::move(aOrigin),
+                              std::move(prepare),
+                              std::move(aDone))
+    ->Read();
 }
 
 } // namespace bergamotpaddle
--- a/lib/Operator/ConfigCommands.cpp
+++ b/lib/Operator/ConfigCommands.cpp
@@ -28,7 +28,8 @@
   return ConfigDocument::FromJson(entry.m_value);
 }
 
-/// Prints what changes from \p aOld to \p aNew, a line each; the number of lines.
+/// Prints what changes from \p aOld to \p aNew, a line each; the number of
+/// lines.
 std::size_t
 PrintDifference(const json& aOld, const json& aNew)
 {
@@ -41,10 +42,12 @@
       std::cout << "+ " << path << " " << step.at("value").dump() << "\n";
     }
     if (operation == "remove") {
-      std::cout << "- " << path << " " << before.at(json::json_pointer(path)).dump() << "\n";
+      std::cout << "- " << path << " "
+                << before.at(json::json_pointer(path)).dump() << "\n";
     }
     if (operation == "replace") {
-      std::cout << "~ " << path << " " << before.at(json::json_pointer(path)).dump() << " -> "
+      std::cout << "~ " << path << " "
+                << before.at(json::json_pointer(path)).dump() << " -> "
                 << step.at("value").dump() << "\n";
     }
   }
@@ -54,7 +57,8 @@
 std::optional<json>
 LoadOrComplain(const CommandOptions& aOptions)
 {
-  const MergedConfiguration merged = LoadConfiguration(aOptions.m_base, aOptions.m_overlay);
+  const MergedConfiguration merged =
+    LoadConfiguration(aOptions.m_base, aOptions.m_overlay);
   for (const Finding& finding : merged.m_findings) {
     std::cerr << finding.Str() << "\n";
   }
@@ -65,24 +69,39 @@
 }
 
 ExitCode
-ReportChange(Session& aSession, const DocumentResult& aResult, const CommandOptions& aOptions)
+ReportChange(Session& aSession,
+             const DocumentResult& aResult,
+             const CommandOptions& aOptions)
 {
   if (absl::IsAborted(aResult.status())) {
-    return FailWith(ExitCode::kConflict, absl::StrCat("conflict: ", aResult.status().message()));
+    return FailWith(ExitCode::kConflict,
+                    absl::StrCat("conflict: ", aResult.status().message()));
   }
   if (!aResult.ok()) {
     return FailWith(ExitCode::kFailed, std::string(aResult.status().message()));
   }
-  std::cout << "accepted as version " << aResult->m_version << " (change " << aResult->m_changeId << ")\n";
-  return aOptions.m_wait ? WaitInForce(aSession, aResult->m_version, aOptions.m_waitSeconds) : ExitCode::kDone;
+  std::cout << "accepted as version " << aResult->m_version << " (change "
+            << aResult->m_changeId << ")\n";
+  return aOptions.m_wait
+           ? WaitInForce(aSession, aResult->m_version, aOptions.m_waitSeconds)
+           : ExitCode::kDone;
 }
 
 ExitCode
-Replace(Session& aSession, const json& aContent, std::uint64_t aExpected, const CommandOptions& aOptions)
+Replace(Session& aSession,
+        const json& aContent,
+        std::uint64_t aExpected,
+        const CommandOptions& aOptions)
 {
-  const DocumentResult result = aSession.Await<DocumentResult>([&](const std::function<void(DocumentResult)>& aDone) {
-    ReplaceContent(aSession.KeyValue(), aSession.Timers(), aExpected, aContent, OriginOf(aOptions), aDone);
-  });
+  const DocumentResult result = aSession.Await<DocumentResult>(
+    [&](const std::function<void(DocumentResult)>& aDone) {
+      ReplaceContent(aSession.KeyValue(),
+                     aSession.Timers(),
+                     aExpected,
+                     aContent,
+                     OriginOf(aOptions),
+                     aDone);
+    });
   return ReportChange(aSession, result, aOptions);
 }
 
@@ -101,7 +120,8 @@
   if (aOnlyShow) {
     return ExitCode::kDone;
   }
-  const bool isRepeat = !aOptions.m_changeId.empty() && current->m_changeId == aOptions.m_changeId;
+  const bool isRepeat =
+    !aOptions.m_changeId.empty() && current->m_changeId == aOptions.m_changeId;
   if (lines == 0 && !isRepeat) {
     std::cout << "nothing to change\n";
     return ExitCode::kDone;
@@ -123,20 +143,21 @@
       continue;
     }
     const auto version = answer.value("config_version", std::uint64_t{ 0 });
-    processes.push_back({ { "process", answer.value("process", "") }, { "version", version } });
+    processes.push_back(
+      { { "process", answer.value("process", "") }, { "version", version } });
     rows.push_back({ answer.value("process", ""), std::to_string(version) });
   }
   if (aOptions.m_json) {
-    std::cout << json{ { "version", current->m_version },
-                       { "change_id", current->m_changeId },
-                       { "author", current->m_author },
-                       { "processes", processes } }
-                   .dump(2)
-              << "\n";
+    std::cout << json{
+      { "version", current->m_version },
+      { "change_id", current->m_changeId },
+      { "author", current->m_author },
+      { "processes", processes }
+    }.dump(2) << "\n";
     return ExitCode::kDone;
   }
-  std::cout << "accepted: version " << current->m_version << " by " << current->m_author << " (change "
-            << current->m_changeId << ")\n";
+  std::cout << "accepted: version " << current->m_version << " by "
+            << current->m_author << " (change " << current->m_changeId << ")\n";
   PrintTable({ "PROCESS", "IN FORCE" }, rows);
   return ExitCode::kDone;
 }
@@ -168,7 +189,10 @@
                      { "author", document.m_author },
                      { "time_ms", document.m_timeMs },
                      { "comment", document.m_comment } });
-    rows.push_back({ std::to_string(document.m_version), document.m_author, document.m_changeId, document.m_comment });
+    rows.push_back({ std::to_string(document.m_version),
+                     document.m_author,
+                     document.m_changeId,
+                     document.m_comment });
   }
   if (aOptions.m_json) {
     std::cout << list.dump(2) << "\n";
@@ -179,12 +203,16 @@
 }
 
 ExitCode
-Rollback(Session& aSession, const std::string& aVersion, const CommandOptions& aOptions)
+Rollback(Session& aSession,
+         const std::string& aVersion,
+         const CommandOptions& aOptions)
 {
   char* end = nullptr;
   const std::uint64_t version = std::strtoull(aVersion.c_str(), &end, 10);
   if (end == aVersion.c_str() || *end != '\0') {
-    return FailWith(ExitCode::kUsage, "rollback needs a version number; config history lists them");
+    return FailWith(
+      ExitCode::kUsage,
+      "rollback needs a version number; config history lists them");
   }
   absl::Status status;
   const KeyValueEntry entry = aSession.Get(VersionKey(version), status);
@@ -194,7 +222,8 @@
   }
   const DocumentResult old = ConfigDocument::FromJson(entry.m_value);
   if (entry.m_revision == 0 || !old.ok()) {
-    return FailWith(ExitCode::kUsage, absl::StrCat("there is no earlier version ", version));
+    return FailWith(ExitCode::kUsage,
+                    absl::StrCat("there is no earlier version ", version));
   }
   // A new version with old content: versions never go down.
   PrintDifference(current->m_content, old->m_content);
@@ -208,7 +237,9 @@
 } // namespace
 
 ExitCode
-RunConfigCommand(Session& aSession, const std::vector<std::string>& aWords, const CommandOptions& aOptions)
+RunConfigCommand(Session& aSession,
+                 const std::vector<std::string>& aWords,
+                 const CommandOptions& aOptions)
 {
   const std::string verb = aWords.size() > 1 ? aWords[1] : "";
   if (verb == "validate") {
@@ -228,15 +259,22 @@
   if (verb == "rollback" && aWords.size() == 3) {
     return Rollback(aSession, aWords[2], aOptions);
   }
-  return FailWith(ExitCode::kUsage, "config: use validate, diff, apply, status, history or rollback VERSION");
+  return FailWith(
+    ExitCode::kUsage,
+    "config: use validate, diff, apply, status, history or rollback VERSION");
 }
 
 ExitCode
-RunDrainCommand(Session& aSession, const std::vector<std::string>& aWords, const CommandOptions& aOptions)
+RunDrainCommand(Session& aSession,
+                const std::vector<std::string>& aWords,
+                const CommandOptions& aOptions)
 {
-  const bool isUsage = aWords.size() == 3 && (aWords[1] == "drain" || aWords[1] == "restore");
+  const bool isUsage =
+    aWords.size() == 3 && (aWords[1] == "drain" || aWords[1] == "restore");
   if (!isUsage) {
-    return FailWith(ExitCode::kUsage, absl::StrCat(aWords[0], ": use drain NAME or restore NAME"));
+    return FailWith(
+      ExitCode::kUsage,
+      absl::StrCat(aWords[0], ": use drain NAME or restore NAME"));
   }
   const std::string state = aWords[1] == "drain" ? "drained" : "active";
   const bool isPool = aWords[0] == "pool";
@@ -251,15 +289,18 @@
         return absl::OkStatus();
       }
     }
-    return absl::NotFoundError(absl::StrCat("unknown ", aWords[0], " ", aWords[2]));
+    return absl::NotFoundError(
+      absl::StrCat("unknown ", aWords[0], " ", aWords[2]));
   };
   CommandOptions options = aOptions;
   if (options.m_comment.empty()) {
     options.m_comment = absl::StrCat(aWords[1], " ", aWords[0], " ", aWords[2]);
   }
-  const DocumentResult result = aSession.Await<DocumentResult>([&](const std::function<void(DocumentResult)>& aDone) {
-    EditContent(aSession.KeyValue(), aSession.Timers(), edit, OriginOf(options), aDone);
-  });
+  const DocumentResult result = aSession.Await<DocumentResult>(
+    [&](const std::function<void(DocumentResult)>& aDone) {
+      EditContent(
+        aSession.KeyValue(), aSession.Timers(), edit, OriginOf(options), aDone);
+    });
   return ReportChange(aSession, result, options);
 }
 
--- a/lib/Operator/Output.cpp
+++ b/lib/Operator/Output.cpp
@@ -17,7 +17,8 @@
 constexpr int kChangeIdBytes = 6;
 
 void
-PrintRow(const std::vector<std::string>& aCells, const std::vector<std::size_t>& aWidths)
+PrintRow(const std::vector<std::string>& aCells,
+         const std::vector<std::size_t>& aWidths)
 {
   std::string line;
   for (std::size_t i = 0; i < aCells.size(); ++i) {
@@ -38,7 +39,8 @@
       lagging.push_back(aSession.Settings().m_processes[i] + " (no answer)");
       continue;
     }
-    for (const auto& version : answers[i].value("versions", nlohmann::json::array())) {
+    for (const auto& version :
+         answers[i].value("versions", nlohmann::json::array())) {
       if (version.at("version").get<std::uint64_t>() < aVersion) {
         lagging.push_back(version.at("process").get<std::string>());
       }
@@ -55,7 +57,8 @@
 } // namespace
 
 void
-PrintTable(const std::vector<std::string>& aHeader, const std::vector<std::vector<std::string>>& aRows)
+PrintTable(const std::vector<std::string>& aHeader,
+           const std::vector<std::vector<std::string>>& aRows)
 {
   std::vector<std::size_t> widths;
   for (std::size_t i = 0; i < aHeader.size(); ++i) {
@@ -81,7 +84,8 @@
 ExitCode
 WaitInForce(Session& aSession, std::uint64_t aVersion, int aSeconds)
 {
-  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(aSeconds);
+  const auto end =
+    std::chrono::steady_clock::now() + std::chrono::seconds(aSeconds);
   while (true) {
     const std::vector<std::string> lagging = Lagging(aSession, aVersion);
     if (lagging.empty()) {
@@ -90,7 +94,10 @@
     }
     if (std::chrono::steady_clock::now() >= end) {
       return FailWith(ExitCode::kNotInForce,
-                      absl::StrCat("version ", aVersion, " is not in force at: ", absl::StrJoin(lagging, ", ")));
+                      absl::StrCat("version ",
+                                   aVersion,
+                                   " is not in force at: ",
+                                   absl::StrJoin(lagging, ", ")));
     }
     std::this_thread::sleep_for(kPoll);
   }
@@ -100,11 +107,13 @@
 OriginOf(const CommandOptions& aOptions)
 {
   ChangeOrigin origin;
-  origin.m_changeId = aOptions.m_changeId.empty() ? RandomHex(kChangeIdBytes) : aOptions.m_changeId;
+  origin.m_changeId = aOptions.m_changeId.empty() ? RandomHex(kChangeIdBytes)
+                                                  : aOptions.m_changeId;
   origin.m_author = aOptions.m_author;
   origin.m_comment = aOptions.m_comment;
   origin.m_timeMs = static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
       .count());
   return origin;
 }
--- a/lib/Operator/Output.h
+++ b/lib/Operator/Output.h
@@ -11,7 +11,8 @@
 
 /// Prints rows under a header, columns aligned.
 void
-PrintTable(const std::vector<std::string>& aHeader, const std::vector<std::vector<std::string>>& aRows);
+PrintTable(const std::vector<std::string>& aHeader,
+           const std::vector<std::vector<std::string>>& aRows);
 
 /// Prints \p aMessage on standard error and returns \p aCode.
 ExitCode
--- a/lib/Operator/Session.cpp
+++ b/lib/Operator/Session.cpp
@@ -17,8 +17,9 @@
 Session::Get(const std::string& aKey, absl::Status& aStatus)
 {
   using Result = absl::StatusOr<KeyValueEntry>;
-  const Result entry =
-    Await<Result>([&](std::function<void(Result)> aDone) { m_keyValue.m_get(aKey, std::move(aDone)); });
+  const Result entry = Await<Result>([&](std::function<void(Result)> aDone) {
+    m_keyValue.m_get(aKey, std::move(aDone));
+  });
   aStatus = entry.status();
   return entry.ok() ? *entry : KeyValueEntry{};
 }
@@ -27,8 +28,9 @@
 Session::List(const std::string& aPrefix, absl::Status& aStatus)
 {
   using Result = absl::StatusOr<std::map<std::string, KeyValueEntry>>;
-  const Result entries =
-    Await<Result>([&](std::function<void(Result)> aDone) { m_keyValue.m_list(aPrefix, std::move(aDone)); });
+  const Result entries = Await<Result>([&](std::function<void(Result)> aDone) {
+    m_keyValue.m_list(aPrefix, std::move(aDone));
+  });
   aStatus = entries.status();
   return entries.ok() ? *entries : std::map<std::string, KeyValueEntry>{};
 }
@@ -48,14 +50,16 @@
       call.m_url = m_settings.m_processes[i] + aPath;
       call.m_headers = { { "Authorization", "Bearer " + m_settings.m_secret } };
       call.m_totalTimeout = kAskTimeout;
-      m_client->Start(std::move(call), [answers, open, i, aDone](const HttpReply& aReply) {
-        if (aReply.m_status == 200) {
-          (*answers)[i] = nlohmann::json::parse(aReply.m_body, nullptr, false);
-        }
-        if (--*open == 0) {
-          aDone(*answers);
-        }
-      });
+      m_client->Start(
+        std::move(call), [answers, open, i, aDone](const HttpReply& aReply) {
+          if (aReply.m_status == 200) {
+            (*answers)[i] =
+              nlohmann::json::parse(aReply.m_body, nullptr, false);
+          }
+          if (--*open == 0) {
+            aDone(*answers);
+          }
+        });
     }
   });
 }
--- a/lib/Platform/HttpKeyValue.cpp
+++ b/lib/Platform/HttpKeyValue.cpp
@@ -26,7 +26,9 @@
   if (aReply.m_status != kHttpOk) {
     ++aCounts.m_unavailable;
     return absl::UnavailableError(
-      absl::StrCat("key-value service: ", aReply.Answered() ? absl::StrCat("status ", aReply.m_status) : aReply.m_error));
+      absl::StrCat("key-value service: ",
+                   aReply.Answered() ? absl::StrCat("status ", aReply.m_status)
+                                     : aReply.m_error));
   }
   json body = json::parse(aReply.m_body, nullptr, false);
   if (body.is_discarded()) {
@@ -38,14 +40,17 @@
 KeyValueEntry
 ToEntry(const json& aBody)
 {
-  return { aBody.value("revision", std::uint64_t{ 0 }), aBody.value("value", std::string()) };
+  return { aBody.value("revision", std::uint64_t{ 0 }),
+           aBody.value("value", std::string()) };
 }
 
 /// Builds the calls; copied into every hook.
 class HttpKeyValue
 {
 public:
-  HttpKeyValue(HttpClient& aClient, std::string aBaseUrl, KeyValueCallCounts& aCounts)
+  HttpKeyValue(HttpClient& aClient,
+               std::string aBaseUrl,
+               KeyValueCallCounts& aCounts)
     : m_client(&aClient)
     , m_baseUrl(std::move(aBaseUrl))
     , m_counts(&aCounts)
@@ -55,9 +60,11 @@
   void Get(const std::string& aKey, const KeyValueHooks::EntryHook& aDone) const
   {
     ++m_counts->m_reads;
-    Start(MakeCall("GET", "/v1/kv/" + aKey, {}), [aDone](absl::StatusOr<json> aBody) {
-      aDone(aBody.ok() ? absl::StatusOr<KeyValueEntry>(ToEntry(*aBody)) : aBody.status());
-    });
+    Start(MakeCall("GET", "/v1/kv/" + aKey, {}),
+          [aDone](absl::StatusOr<json> aBody) {
+            aDone(aBody.ok() ? absl::StatusOr<KeyValueEntry>(ToEntry(*aBody))
+                             : aBody.status());
+          });
   }
 
   void CompareAndSwap(const std::string& aKey,
@@ -73,31 +80,42 @@
     Start(MakeCall("PUT", "/v1/kv/" + aKey, body.dump()), RevisionFrom(aDone));
   }
 
-  void Watch(const std::string& aKey, std::uint64_t aRevision, const KeyValueHooks::EntryHook& aDone) const
+  void Watch(const std::string& aKey,
+             std::uint64_t aRevision,
+             const KeyValueHooks::EntryHook& aDone) const
   {
     ++m_counts->m_watches;
-    HttpCall call = MakeCall(
-      "GET", absl::StrCat("/v1/watch/", aKey, "?after=", aRevision, "&timeout_ms=", kWatchWait.count()), {});
+    HttpCall call = MakeCall("GET",
+                             absl::StrCat("/v1/watch/",
+                                          aKey,
+                                          "?after=",
+                                          aRevision,
+                                          "&timeout_ms=",
+                                          kWatchWait.count()),
+                             {});
     call.m_totalTimeout = kWatchTimeout;
     Start(std::move(call), [aDone](absl::StatusOr<json> aBody) {
-      aDone(aBody.ok() ? absl::StatusOr<KeyValueEntry>(ToEntry(*aBody)) : aBody.status());
+      aDone(aBody.ok() ? absl::StatusOr<KeyValueEntry>(ToEntry(*aBody))
+                       : aBody.status());
     });
   }
 
-  void List(const std::string& aPrefix, const KeyValueHooks::ListHook& aDone) const
+  void List(const std::string& aPrefix,
+            const KeyValueHooks::ListHook& aDone) const
   {
     ++m_counts->m_reads;
-    Start(MakeCall("GET", "/v1/list?prefix=" + aPrefix, {}), [aDone](absl::StatusOr<json> aBody) {
-      if (!aBody.ok()) {
-        aDone(aBody.status());
-        return;
-      }
-      std::map<std::string, KeyValueEntry> entries;
-      for (const auto& [key, entry] : aBody->at("entries").items()) {
-        entries.emplace(key, ToEntry(entry));
-      }
-      aDone(std::move(entries));
-    });
+    Start(MakeCall("GET", "/v1/list?prefix=" + aPrefix, {}),
+          [aDone](absl::StatusOr<json> aBody) {
+            if (!aBody.ok()) {
+              aDone(aBody.status());
+              return;
+            }
+            std::map<std::string, KeyValueEntry> entries;
+            for (const auto& [key, entry] : aBody->at("entries").items()) {
+              entries.emplace(key, ToEntry(entry));
+            }
+            aDone(std::move(entries));
+          });
   }
 
   void KeepAlive(const std::string& aKey,
@@ -106,13 +124,18 @@
                  const KeyValueHooks::RevisionHook& aDone) const
   {
     ++m_counts->m_writes;
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(aTimeToLive).count();
+    const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aTimeToLive)
+        .count();
     json body = { { "value", aValue }, { "ttl_ms", milliseconds } };
-    Start(MakeCall("PUT", "/v1/lease/" + aKey, body.dump()), RevisionFrom(aDone));
+    Start(MakeCall("PUT", "/v1/lease/" + aKey, body.dump()),
+          RevisionFrom(aDone));
   }
 
 private:
-  HttpCall MakeCall(std::string aMethod, const std::string& aPath, std::string aBody) const
+  HttpCall MakeCall(std::string aMethod,
+                    const std::string& aPath,
+                    std::string aBody) const
   {
     HttpCall call;
     call.m_method = std::move(aMethod);
@@ -123,17 +146,23 @@
     return call;
   }
 
-  void Start(HttpCall aCall, std::function<void(absl::StatusOr<json>)> aDone) const
+  void Start(HttpCall aCall,
+             std::function<void(absl::StatusOr<json>)> aDone) const
   {
-    m_client->Start(std::move(aCall), [done = std::move(aDone), counts = m_counts](const HttpReply& aReply) {
-      done(ParseReply(aReply, *counts));
-    });
+    m_client->Start(
+      std::move(aCall),
+      [done = std::move(aDone), counts = m_counts](const HttpReply& aReply) {
+        done(ParseReply(aReply, *counts));
+      });
   }
 
-  static std::function<void(absl::StatusOr<json>)> RevisionFrom(const KeyValueHooks::RevisionHook& aDone)
+  static std::function<void(absl::StatusOr<json>)> RevisionFrom(
+    const KeyValueHooks::RevisionHook& aDone)
   {
     return [aDone](absl::StatusOr<json> aBody) {
-      aDone(aBody.ok() ? absl::StatusOr<std::uint64_t>(aBody->value("revision", std::uint64_t{ 0 })) : aBody.status());
+      aDone(aBody.ok() ? absl::StatusOr<std::uint64_t>(
+                           aBody->value("revision", std::uint64_t{ 0 }))
+                       : aBody.status());
     };
   }
 
@@ -145,21 +174,29 @@
 } // namespace
 
 KeyValueHooks
-MakeHttpKeyValue(HttpClient& aClient, const std::string& aBaseUrl, KeyValueCallCounts& aCounts)
+MakeHttpKeyValue(HttpClient& aClient,
+                 const std::string& aBaseUrl,
+                 KeyValueCallCounts& aCounts)
 {
   HttpKeyValue service(aClient, aBaseUrl, aCounts);
   KeyValueHooks hooks;
-  hooks.m_get = [service](const std::string& aKey, const KeyValueHooks::EntryHook& aDone) { service.Get(aKey, aDone); };
+  hooks.m_get = [service](const std::string& aKey,
+                          const KeyValueHooks::EntryHook& aDone) {
+    service.Get(aKey, aDone);
+  };
   hooks.m_compareAndSwap = [service](const std::string& aKey,
                                      std::uint64_t aRevision,
                                      const std::optional<std::string>& aValue,
                                      const KeyValueHooks::RevisionHook& aDone) {
     service.CompareAndSwap(aKey, aRevision, aValue, aDone);
   };
-  hooks.m_watch = [service](const std::string& aKey, std::uint64_t aRevision, const KeyValueHooks::EntryHook& aDone) {
+  hooks.m_watch = [service](const std::string& aKey,
+                            std::uint64_t aRevision,
+                            const KeyValueHooks::EntryHook& aDone) {
     service.Watch(aKey, aRevision, aDone);
   };
-  hooks.m_list = [service](const std::string& aPrefix, const KeyValueHooks::ListHook& aDone) {
+  hooks.m_list = [service](const std::string& aPrefix,
+                           const KeyValueHooks::ListHook& aDone) {
     service.List(aPrefix, aDone);
   };
   hooks.m_keepAlive = [service](const std::string& aKey,
--- a/lib/Platform/KeyValue.cpp
+++ b/lib/Platform/KeyValue.cpp
@@ -11,7 +11,8 @@
 class UpdateRun : public std::enable_shared_from_this<UpdateRun>
 {
 public:
-  using Transform = std::function<TransformResult(const std::optional<std::string>&)>;
+  using Transform =
+    std::function<TransformResult(const std::optional<std::string>&)>;
   using Done = std::function<void(absl::StatusOr<KeyValueEntry>)>;
 
   UpdateRun(const KeyValueHooks& aKeyValue,
@@ -32,13 +33,14 @@
 
   void Read()
   {
-    m_keyValue.m_get(m_key, [self = shared_from_this()](absl::StatusOr<KeyValueEntry> aEntry) {
-      if (!aEntry.ok()) {
-        self->Unclear(aEntry.status());
-        return;
-      }
-      self->Write(*aEntry);
-    });
+    m_keyValue.m_get(
+      m_key, [self = shared_from_this()](absl::StatusOr<KeyValueEntry> aEntry) {
+        if (!aEntry.ok()) {
+          self->Unclear(aEntry.status());
+          return;
+        }
+        self->Write(*aEntry);
+      });
   }
 
 private:
@@ -61,10 +63,14 @@
     if (wanted.m_action == TransformResult::Action::kWrite) {
       value = wanted.m_value;
     }
-    m_keyValue.m_compareAndSwap(
-      m_key, aRead.m_revision, value, [self = shared_from_this(), value](absl::StatusOr<std::uint64_t> aRevision) {
-        self->Written(std::move(aRevision), value.value_or(""));
-      });
+    m_keyValue.m_compareAndSwap(m_key,
+                                aRead.m_revision,
+                                value,
+                                [self = shared_from_this(), value](
+                                  absl::StatusOr<std::uint64_t> aRevision) {
+                                  self->Written(std::move(aRevision),
+                                                value.value_or(""));
+                                });
   }
 
   void Written(absl::StatusOr<std::uint64_t> aRevision, std::string aValue)
@@ -105,14 +111,17 @@
 } // namespace
 
 void
-Update(const KeyValueHooks& aKeyValue,
-       const TimerHooks& aTimers,
-       const std::string& aKey,
-       std::function<TransformResult(const std::optional<std::string>&)> aTransform,
-       std::function<void(absl::StatusOr<KeyValueEntry>)> aDone,
-       UpdateOptions aOptions)
+Update(
+  const KeyValueHooks& aKeyValue,
+  const TimerHooks& aTimers,
+  const std::string& aKey,
+  std::function<TransformResult(const std::optional<std::string>&)> aTransform,
+  std::function<void(absl::StatusOr<KeyValueEntry>)> aDone,
+  UpdateOptions aOptions)
 {
-  std::make_shared<UpdateRun>(aKeyValue, aTimers, aKey, std::move(aTransform), std::move(aDone), aOptions)->Read();
+  std::make_shared<UpdateRun>(
+    aKeyValue, aTimers, aKey, std::move(aTransform), std::move(aDone), aOptions)
+    ->Read();
 }
 
 } // namespace bergamotpaddle
--- a/lib/Router/AgentDirectory.cpp
+++ b/lib/Router/AgentDirectory.cpp
@@ -2,7 +2,9 @@
 
 namespace bergamotpaddle {
 
-AgentDirectory::AgentDirectory(DirectoryOptions aOptions, TimerHooks aTimers, DirectoryHooks aHooks)
+AgentDirectory::AgentDirectory(DirectoryOptions aOptions,
+                               TimerHooks aTimers,
+                               DirectoryHooks aHooks)
   : m_options(aOptions)
   , m_timers(std::move(aTimers))
   , m_hooks(std::move(aHooks))
@@ -15,8 +17,9 @@
   std::vector<UpstreamId> gone;
   for (auto& [id, agent] : m_agents) {
     auto configured = aConfiguration.m_upstreams.find(id);
-    const bool isSame = configured != aConfiguration.m_upstreams.end() &&
-                        configured->second.m_agentAddress == agent.m_config.m_agentAddress;
+    const bool isSame =
+      configured != aConfiguration.m_upstreams.end() &&
+      configured->second.m_agentAddress == agent.m_config.m_agentAddress;
     if (!isSame) {
       gone.push_back(id);
     }
@@ -83,7 +86,8 @@
     Drop(id, *agent);
     return;
   }
-  const bool isSameLife = agent->m_agent.Empty() || agent->m_agent == aMessage.m_agent;
+  const bool isSameLife =
+    agent->m_agent.Empty() || agent->m_agent == aMessage.m_agent;
   agent->m_agent = aMessage.m_agent;
   agent->m_isUp = true;
   agent->m_lastHeard = m_timers.m_now();
--- a/lib/Router/Balancer.cpp
+++ b/lib/Router/Balancer.cpp
@@ -12,7 +12,8 @@
 Smooth(double& aAverage, Duration aSample, double aSmoothing)
 {
   const auto sample = static_cast<double>(aSample.count());
-  aAverage = aAverage == 0 ? sample : aAverage + aSmoothing * (sample - aAverage);
+  aAverage =
+    aAverage == 0 ? sample : aAverage + aSmoothing * (sample - aAverage);
 }
 
 double
@@ -44,7 +45,8 @@
 }
 
 std::set<UpstreamId>
-Balancer::SlowOnes(const AgentDirectory& aDirectory, const std::vector<UpstreamId>& aLive) const
+Balancer::SlowOnes(const AgentDirectory& aDirectory,
+                   const std::vector<UpstreamId>& aLive) const
 {
   std::vector<std::pair<double, UpstreamId>> measured;
   for (const UpstreamId& id : aLive) {
@@ -60,7 +62,8 @@
   std::sort(measured.begin(), measured.end());
   const double middle = measured[measured.size() / 2].first;
   const std::size_t most = aLive.size() / 3;
-  for (auto it = measured.rbegin(); it != measured.rend() && slow.size() < most; ++it) {
+  for (auto it = measured.rbegin(); it != measured.rend() && slow.size() < most;
+       ++it) {
     if (it->first > m_options.m_slowFactor * middle) {
       slow.insert(it->second);
     }
@@ -69,7 +72,9 @@
 }
 
 bool
-Balancer::IsSlow(const AgentDirectory& aDirectory, const PoolConfig& aPool, const AgentView& aAgent) const
+Balancer::IsSlow(const AgentDirectory& aDirectory,
+                 const PoolConfig& aPool,
+                 const AgentView& aAgent) const
 {
   std::vector<UpstreamId> live;
   UpstreamId self;
@@ -89,7 +94,8 @@
 double
 Balancer::Load(const AgentView& aAgent, Instant aNow) const
 {
-  const double reported = aAgent.m_heartbeat.m_running + aAgent.m_heartbeat.m_waiting;
+  const double reported =
+    aAgent.m_heartbeat.m_running + aAgent.m_heartbeat.m_waiting;
   const double own = aAgent.m_outstanding;
   double load = own + m_options.m_reportWeight * std::max(0.0, reported - own);
   if (aAgent.m_config.m_zone != m_options.m_zone) {
@@ -97,7 +103,8 @@
   }
   const Duration age = aNow - aAgent.m_upSince;
   if (age < m_options.m_slowStart) {
-    const double share = std::max(0.1, static_cast<double>(age.count()) / m_options.m_slowStart.count());
+    const double share = std::max(
+      0.1, std::chrono::duration<double>(age) / m_options.m_slowStart);
     load = (load + 1) / share;
   }
   return load;
@@ -112,7 +119,8 @@
   std::vector<UpstreamId> live;
   for (const UpstreamId& id : aPool.m_upstreams) {
     auto found = aDirectory.Agents().find(id);
-    if (found != aDirectory.Agents().end() && found->second.MayTakeWork() && !aExcluded.contains(id)) {
+    if (found != aDirectory.Agents().end() && found->second.MayTakeWork() &&
+        !aExcluded.contains(id)) {
       live.push_back(id);
     }
   }
@@ -120,15 +128,21 @@
     return std::nullopt;
   }
   const std::set<UpstreamId> slow = SlowOnes(aDirectory, live);
-  const bool isProbe = std::uniform_real_distribution<double>(0, 1)(m_random) < m_options.m_probeChance;
+  const bool isProbe = std::uniform_real_distribution<double>(0, 1)(m_random) <
+                       m_options.m_probeChance;
   if (!isProbe && slow.size() < live.size()) {
-    std::erase_if(live, [&](const UpstreamId& aId) { return slow.contains(aId); });
+    std::erase_if(live,
+                  [&](const UpstreamId& aId) { return slow.contains(aId); });
   }
   // Ties go to a random one, or every router would send to the first.
   std::shuffle(live.begin(), live.end(), m_random);
-  return *std::min_element(live.begin(), live.end(), [&](const UpstreamId& aLeft, const UpstreamId& aRight) {
-    return Load(aDirectory.Agents().at(aLeft), aNow) < Load(aDirectory.Agents().at(aRight), aNow);
-  });
+  return *std::min_element(
+    live.begin(),
+    live.end(),
+    [&](const UpstreamId& aLeft, const UpstreamId& aRight) {
+      return Load(aDirectory.Agents().at(aLeft), aNow) <
+             Load(aDirectory.Agents().at(aRight), aNow);
+    });
 }
 
 } // namespace bergamotpaddle
--- a/lib/Router/CreditExchange.cpp
+++ b/lib/Router/CreditExchange.cpp
@@ -42,7 +42,9 @@
 CreditExchange::IsLinked(const HolderId& aHolder) const
 {
   return std::any_of(
-    m_holders.begin(), m_holders.end(), [&](const auto& aItem) { return aItem.second == aHolder; });
+    m_holders.begin(), m_holders.end(), [&](const auto& aItem) {
+      return aItem.second == aHolder;
+    });
 }
 
 void
@@ -56,10 +58,13 @@
   question.m_done = std::move(aDone);
   std::vector<HolderId> unreachable;
   for (const HolderId& holder : aHolders) {
-    auto peer = std::find_if(
-      m_holders.begin(), m_holders.end(), [&](const auto& aItem) { return aItem.second == holder; });
+    auto peer =
+      std::find_if(m_holders.begin(), m_holders.end(), [&](const auto& aItem) {
+        return aItem.second == holder;
+      });
     const bool isSent =
-      peer != m_holders.end() && m_hooks.m_send(peer->first, CreditRequest{ number, aAccount, aTokens });
+      peer != m_holders.end() &&
+      m_hooks.m_send(peer->first, CreditRequest{ number, aAccount, aTokens });
     if (!isSent) {
       unreachable.push_back(holder);
       continue;
@@ -103,7 +108,8 @@
 {
   m_hooks.m_ledger().ReturnSpare(
     aMessage.m_account,
-    [this, aPeer, number = aMessage.m_question, account = aMessage.m_account](bool aReturned) {
+    [this, aPeer, number = aMessage.m_question, account = aMessage.m_account](
+      bool aReturned) {
       m_hooks.m_send(aPeer, CreditReply{ number, account, aReturned });
     });
 }
--- a/lib/Router/HolderWatch.cpp
+++ b/lib/Router/HolderWatch.cpp
@@ -12,7 +12,8 @@
 constexpr const char* kMemberPrefix = "member/";
 
 std::set<std::string>
-NamesBelow(const std::map<std::string, KeyValueEntry>& aEntries, const std::string& aPrefix)
+NamesBelow(const std::map<std::string, KeyValueEntry>& aEntries,
+           const std::string& aPrefix)
 {
   std::set<std::string> names;
   for (const auto& [key, entry] : aEntries) {
@@ -25,9 +26,13 @@
 std::string
 ElectedFor(const std::string& aHolder, const std::set<std::string>& aMembers)
 {
-  return *std::max_element(aMembers.begin(), aMembers.end(), [&](const std::string& aLeft, const std::string& aRight) {
-    return RendezvousWeight(aHolder, aLeft) < RendezvousWeight(aHolder, aRight);
-  });
+  return *std::max_element(
+    aMembers.begin(),
+    aMembers.end(),
+    [&](const std::string& aLeft, const std::string& aRight) {
+      return RendezvousWeight(aHolder, aLeft) <
+             RendezvousWeight(aHolder, aRight);
+    });
 }
 
 } // namespace
@@ -70,25 +75,33 @@
     return;
   }
   m_timers.m_after(m_options.m_scanInterval, [this] { Scan(); });
-  m_keyValue.m_list(kLedgerPrefix, [this](const absl::StatusOr<std::map<std::string, KeyValueEntry>>& aLedgers) {
-    if (!aLedgers.ok() || m_stopped) {
-      m_misses.clear();
-      return;
-    }
-    const std::set<std::string> ledgers = NamesBelow(*aLedgers, kLedgerPrefix);
-    m_keyValue.m_list(
-      kMemberPrefix, [this, ledgers](const absl::StatusOr<std::map<std::string, KeyValueEntry>>& aMembers) {
-        if (!aMembers.ok() || m_stopped) {
-          m_misses.clear();
-          return;
-        }
-        Judge(ledgers, NamesBelow(*aMembers, kMemberPrefix));
-      });
-  });
+  m_keyValue.m_list(
+    kLedgerPrefix,
+    [this](
+      const absl::StatusOr<std::map<std::string, KeyValueEntry>>& aLedgers) {
+      if (!aLedgers.ok() || m_stopped) {
+        m_misses.clear();
+        return;
+      }
+      const std::set<std::string> ledgers =
+        NamesBelow(*aLedgers, kLedgerPrefix);
+      m_keyValue.m_list(
+        kMemberPrefix,
+        [this,
+         ledgers](const absl::StatusOr<std::map<std::string, KeyValueEntry>>&
+                    aMembers) {
+          if (!aMembers.ok() || m_stopped) {
+            m_misses.clear();
+            return;
+          }
+          Judge(ledgers, NamesBelow(*aMembers, kMemberPrefix));
+        });
+    });
 }
 
 void
-HolderWatch::Judge(const std::set<std::string>& aLedgers, const std::set<std::string>& aMembers)
+HolderWatch::Judge(const std::set<std::string>& aLedgers,
+                   const std::set<std::string>& aMembers)
 {
   const std::string self = m_hooks.m_self().Str();
   if (!aMembers.contains(self)) {
@@ -104,7 +117,8 @@
   }
   m_misses.swap(misses);
   for (const auto& [holder, count] : m_misses) {
-    if (count >= m_options.m_missesBeforeRecovery && ElectedFor(holder, aMembers) == self) {
+    if (count >= m_options.m_missesBeforeRecovery &&
+        ElectedFor(holder, aMembers) == self) {
       m_hooks.m_recover(HolderId(holder));
     }
   }
--- a/lib/Router/RequestTable.cpp
+++ b/lib/Router/RequestTable.cpp
@@ -11,6 +11,8 @@
 
 constexpr Duration kAttachPoll = std::chrono::milliseconds(100);
 constexpr Duration kRetryPause = std::chrono::milliseconds(10);
+/// For how long homes remember claims; a younger one may have forgotten some.
+constexpr std::uint64_t kClaimMemoryMilliseconds = 300'000;
 
 } // namespace
 
@@ -47,7 +49,8 @@
 {
   Attempt* attempt = FindAttempt(aAttempt);
   Request* request = attempt == nullptr ? nullptr : Find(attempt->m_request);
-  return request != nullptr && request->m_current == aAttempt ? request : nullptr;
+  return request != nullptr && request->m_current == aAttempt ? request
+                                                              : nullptr;
 }
 
 void
@@ -57,7 +60,11 @@
                    const std::string& aDetail) const
 {
   const Dispatch& dispatch = aRequest.m_new.m_dispatch;
-  m_hooks.m_event({ aName, dispatch.m_key.Str(), dispatch.m_account.Str(), aUpstream.Str(), aDetail });
+  m_hooks.m_event({ aName,
+                    dispatch.m_key.Str(),
+                    dispatch.m_account.Str(),
+                    aUpstream.Str(),
+                    aDetail });
 }
 
 RequestNumber
@@ -68,11 +75,14 @@
   request.m_new = std::move(aRequest);
   request.m_begunAt = m_timers.m_now();
   ++m_counters.m_begun;
-  m_retryCredit = std::min(m_options.m_retryBurst, m_retryCredit + m_options.m_retryShare);
+  m_retryCredit =
+    std::min(m_options.m_retryBurst, m_retryCredit + m_options.m_retryShare);
   Note("request_begun", request, {});
   m_timers.m_after(m_options.m_requestTimeout, [this, number] {
     if (Request* late = Find(number)) {
-      Fail(number, ResultCode::kDeadlineExceeded, late->m_current == 0 && !late->m_mayHaveRun ? Ran::kNo : Ran::kUnknown);
+      Fail(number,
+           ResultCode::kDeadlineExceeded,
+           late->m_current == 0 ? Ran::kNo : Ran::kUnknown);
     }
   });
   TryNext(number);
@@ -87,10 +97,11 @@
   auto pool = pools.find(request.m_new.m_pool);
   std::optional<UpstreamId> place;
   if (pool != pools.end()) {
-    place = m_balancer->Pick(*m_directory, pool->second, request.m_excluded, m_timers.m_now());
+    place = m_balancer->Pick(
+      *m_directory, pool->second, request.m_excluded, m_timers.m_now());
   }
   if (!place.has_value()) {
-    Fail(aNumber, request.m_lastRefusal, request.m_mayHaveRun ? Ran::kUnknown : Ran::kNo);
+    Fail(aNumber, request.m_lastRefusal, Ran::kNo);
     return;
   }
   const AttemptId id = ++m_lastAttempt;
@@ -114,21 +125,24 @@
 std::vector<UpstreamId>
 RequestTable::HomesOf(const Request& aRequest) const
 {
+  // Whether a home can be reached now plays no part: another router may reach
+  // it, and must come to the same homes.
   const Dispatch& dispatch = aRequest.m_new.m_dispatch;
-  const std::string name = absl::StrCat(dispatch.m_account.Str(), "|", dispatch.m_key.Str());
+  const std::string name =
+    absl::StrCat(dispatch.m_account.Str(), "|", dispatch.m_key.Str());
+  const PoolConfig& pool =
+    m_hooks.m_configuration().m_pools.at(aRequest.m_new.m_pool);
   std::vector<std::pair<std::uint64_t, UpstreamId>> ranked;
-  for (const UpstreamId& id : m_hooks.m_configuration().m_pools.at(aRequest.m_new.m_pool).m_upstreams) {
-    const AgentView* agent = m_directory->Find(id);
-    if (agent != nullptr && agent->m_isUp) {
-      ranked.emplace_back(RendezvousWeight(name, id.Str()), id);
-    }
+  ranked.reserve(pool.m_upstreams.size());
+  for (const UpstreamId& id : pool.m_upstreams) {
+    ranked.emplace_back(RendezvousWeight(name, id.Str()), id);
   }
   std::sort(ranked.rbegin(), ranked.rend());
+  ranked.resize(std::min(ranked.size(), m_options.m_homes));
   std::vector<UpstreamId> homes;
+  homes.reserve(ranked.size());
   for (const auto& [weight, id] : ranked) {
-    if (homes.size() < m_options.m_homes) {
-      homes.push_back(id);
-    }
+    homes.push_back(id);
   }
   return homes;
 }
@@ -140,20 +154,23 @@
   const Request& request = *Find(attempt.m_request);
   const Dispatch& dispatch = request.m_new.m_dispatch;
   attempt.m_state = AttemptState::kClaiming;
-  attempt.m_verdictRank = m_options.m_homes;
-  const std::vector<UpstreamId> homes = HomesOf(request);
-  for (const UpstreamId& home : homes) {
-    attempt.m_homes.emplace(home, false);
-  }
-  for (const UpstreamId& home : homes) {
-    m_hooks.m_send(home,
-                   ClaimRequest{ aAttempt,
-                                 dispatch.m_account,
-                                 dispatch.m_key,
-                                 dispatch.m_fingerprint,
-                                 attempt.m_place,
-                                 request.m_replaces,
-                                 request.m_replacesGeneration });
+  for (const UpstreamId& home : HomesOf(request)) {
+    const bool isSent =
+      m_hooks.m_send(home,
+                     ClaimRequest{ aAttempt,
+                                   dispatch.m_account,
+                                   dispatch.m_key,
+                                   dispatch.m_fingerprint,
+                                   attempt.m_place,
+                                   request.m_replaces,
+                                   request.m_replacesGeneration });
+    if (isSent) {
+      attempt.m_asked.insert(home);
+    }
+  }
+  if (attempt.m_asked.empty()) {
+    ClaimDecided(aAttempt);
+    return;
   }
   m_timers.m_after(m_options.m_claimTimeout, [this, aAttempt] {
     Attempt* late = FindAttempt(aAttempt);
@@ -166,74 +183,81 @@
 void
 RequestTable::On(const UpstreamId& aFrom, const ClaimReply& aMessage)
 {
-  Request* request = CurrentOf(aMessage.m_attempt);
-  if (request == nullptr) {
+  Attempt* attempt = FindAttempt(aMessage.m_attempt);
+  const bool isWanted = CurrentOf(aMessage.m_attempt) != nullptr &&
+                        attempt->m_state == AttemptState::kClaiming &&
+                        attempt->m_asked.contains(aFrom);
+  if (!isWanted) {
     return;
   }
-  Attempt& attempt = *FindAttempt(aMessage.m_attempt);
-  auto home = attempt.m_homes.find(aFrom);
-  if (attempt.m_state != AttemptState::kClaiming || home == attempt.m_homes.end() || home->second) {
-    return;
-  }
-  home->second = true;
-  const std::vector<UpstreamId> ranked = HomesOf(*request);
-  const auto rank =
-    static_cast<std::size_t>(std::find(ranked.begin(), ranked.end(), aFrom) - ranked.begin());
-  // The best-ranked home decides; the others remember for when it is gone. A
-  // home that has seen the key outranks one that lost its memory in a restart.
-  const bool knows = aMessage.m_verdict != ClaimVerdict::kGranted;
-  const bool decidedKnows = attempt.m_verdict.has_value() && attempt.m_verdict->m_verdict != ClaimVerdict::kGranted;
-  const bool isBetter = rank < attempt.m_verdictRank;
-  const AgentView* agent = m_directory->Find(aFrom);
-  const bool isYoung = agent != nullptr && agent->m_heartbeat.m_ageMilliseconds < 300'000;
-  if (!attempt.m_verdict.has_value() || (isBetter && !(decidedKnows && !knows && isYoung))) {
-    attempt.m_verdict = aMessage;
-    attempt.m_verdictRank = rank;
-  }
-  const bool allAnswered =
-    std::all_of(attempt.m_homes.begin(), attempt.m_homes.end(), [](const auto& aItem) { return aItem.second; });
-  if (allAnswered) {
+  attempt->m_verdicts[aFrom] = aMessage;
+  if (attempt->m_verdicts.size() == attempt->m_asked.size()) {
     ClaimDecided(aMessage.m_attempt);
   }
 }
 
+std::optional<ClaimReply>
+RequestTable::Verdict(const Attempt& aAttempt) const
+{
+  std::optional<ClaimReply> decided;
+  bool mayHaveForgotten = false;
+  for (const UpstreamId& home : HomesOf(m_requests.at(aAttempt.m_request))) {
+    auto verdict = aAttempt.m_verdicts.find(home);
+    if (verdict == aAttempt.m_verdicts.end()) {
+      continue;
+    }
+    const bool knows = verdict->second.m_verdict != ClaimVerdict::kGranted;
+    if (!decided.has_value()) {
+      // The best-ranked home decides, so that two routers at once agree ...
+      decided = verdict->second;
+      const AgentView* agent = m_directory->Find(home);
+      mayHaveForgotten =
+        !knows && agent != nullptr &&
+        agent->m_heartbeat.m_ageMilliseconds < kClaimMemoryMilliseconds;
+      continue;
+    }
+    if (knows && mayHaveForgotten) {
+      // ... unless it may have known before a restart and another one does.
+      return verdict->second;
+    }
+  }
+  return decided;
+}
+
 void
 RequestTable::ClaimDecided(AttemptId aAttempt)
 {
   Attempt& attempt = *FindAttempt(aAttempt);
   const RequestNumber number = attempt.m_request;
   Request& request = *Find(number);
-  if (!attempt.m_verdict.has_value()) {
+  const std::optional<ClaimReply> verdict = Verdict(attempt);
+  if (!verdict.has_value()) {
     // No home answered: the key may run elsewhere without our knowing.
     DropAttempt(aAttempt);
     Fail(number, ResultCode::kOutcomeUnknown, Ran::kUnknown);
     return;
   }
-  const ClaimReply verdict = *attempt.m_verdict;
-  if (verdict.m_verdict == ClaimVerdict::kMismatch) {
+  if (verdict->m_verdict == ClaimVerdict::kMismatch) {
     DropAttempt(aAttempt);
     Fail(number, ResultCode::kKeyReused, Ran::kNo);
     return;
   }
-  if (verdict.m_verdict == ClaimVerdict::kPlaced && verdict.m_place != attempt.m_place) {
-    DropAttempt(aAttempt);
-    Note("placed_elsewhere", request, verdict.m_place);
-    AttachWhenUp(number, verdict, m_timers.m_now());
-    return;
-  }
-  if (verdict.m_verdict == ClaimVerdict::kPlaced) {
+  if (verdict->m_verdict == ClaimVerdict::kPlaced) {
     DropAttempt(aAttempt);
-    AttachTo(number, verdict);
+    Note("placed_before", request, verdict->m_place);
+    AttachWhenUp(number, *verdict, m_timers.m_now());
     return;
   }
-  attempt.m_generation = verdict.m_generation;
+  attempt.m_generation = verdict->m_generation;
   request.m_replaces = {};
   request.m_replacesGeneration = 0;
   AskCredit(aAttempt);
 }
 
 void
-RequestTable::AttachWhenUp(RequestNumber aNumber, const ClaimReply& aPlaced, Instant aSince)
+RequestTable::AttachWhenUp(RequestNumber aNumber,
+                           const ClaimReply& aPlaced,
+                           Instant aSince)
 {
   const UpstreamId& place = aPlaced.m_place;
   Request* request = Find(aNumber);
@@ -256,7 +280,9 @@
     Fail(aNumber, ResultCode::kOutcomeUnknown, Ran::kUnknown);
     return;
   }
-  m_timers.m_after(kAttachPoll, [this, aNumber, aPlaced, aSince] { AttachWhenUp(aNumber, aPlaced, aSince); });
+  m_timers.m_after(kAttachPoll, [this, aNumber, aPlaced, aSince] {
+    AttachWhenUp(aNumber, aPlaced, aSince);
+  });
 }
 
 void
@@ -283,7 +309,12 @@
 {
   const Attempt& attempt = *FindAttempt(aAttempt);
   m_hooks.m_send(attempt.m_place,
-                 Attach{ aAttempt, attempt.m_account, attempt.m_key, attempt.m_generation, aOffset, aMayWait });
+                 Attach{ aAttempt,
+                         attempt.m_account,
+                         attempt.m_key,
+                         attempt.m_generation,
+                         aOffset,
+                         aMayWait });
 }
 
 void
@@ -301,22 +332,26 @@
   const Dispatch& dispatch = request.m_new.m_dispatch;
   attempt.m_state = AttemptState::kCredit;
   attempt.m_hasAllotment = true;
-  m_hooks.m_ledger().Allot(
-    aAttempt, dispatch.m_account, dispatch.m_key, dispatch.m_allotment, [this, aAttempt](ResultCode aCode) {
-      Attempt* funded = FindAttempt(aAttempt);
-      if (funded == nullptr || Find(funded->m_request) == nullptr) {
-        m_hooks.m_ledger().Release(aAttempt);
-        DropAttempt(aAttempt);
-        return;
-      }
-      if (aCode == ResultCode::kOk) {
-        Send(aAttempt);
-        return;
-      }
-      const RequestNumber number = funded->m_request;
-      DropAttempt(aAttempt);
-      Fail(number, aCode, Find(number)->m_mayHaveRun ? Ran::kUnknown : Ran::kNo);
-    });
+  m_hooks.m_ledger().Allot(aAttempt,
+                           dispatch.m_account,
+                           dispatch.m_key,
+                           dispatch.m_allotment,
+                           [this, aAttempt](ResultCode aCode) {
+                             Attempt* funded = FindAttempt(aAttempt);
+                             if (funded == nullptr ||
+                                 Find(funded->m_request) == nullptr) {
+                               m_hooks.m_ledger().Release(aAttempt);
+                               DropAttempt(aAttempt);
+                               return;
+                             }
+                             if (aCode == ResultCode::kOk) {
+                               Send(aAttempt);
+                               return;
+                             }
+                             const RequestNumber number = funded->m_request;
+                             DropAttempt(aAttempt);
+                             Fail(number, aCode, Ran::kNo);
+                           });
 }
 
 void
@@ -345,7 +380,8 @@
   attempt.m_state = AttemptState::kSent;
   attempt.m_sentAt = m_timers.m_now();
   attempt.m_lastPiece = attempt.m_sentAt;
-  Note("dispatched", request, attempt.m_place, absl::StrCat("attempt ", aAttempt));
+  Note(
+    "dispatched", request, attempt.m_place, absl::StrCat("attempt ", aAttempt));
   m_hooks.m_send(attempt.m_place, std::move(dispatch));
 }
 
@@ -385,7 +421,10 @@
   }
   Request& request = *Find(number);
   request.m_current = 0;
-  Note("attempt_refused", request, aFrom, std::string(Describe(aMessage.m_code).m_name));
+  Note("attempt_refused",
+       request,
+       aFrom,
+       std::string(Describe(aMessage.m_code).m_name));
   if (aMessage.m_code == ResultCode::kKeyReused) {
     Fail(number, aMessage.m_code, Ran::kNo);
     return;
@@ -396,7 +435,8 @@
     // Makes our ledger find out as well, and start a new holder.
     m_hooks.m_ledger().Flush([](const absl::Status&) {});
   }
-  if (aMessage.m_code != ResultCode::kRevoked && aMessage.m_code != ResultCode::kHolderSealed) {
+  if (aMessage.m_code != ResultCode::kRevoked &&
+      aMessage.m_code != ResultCode::kHolderSealed) {
     request.m_excluded.insert(aFrom);
   }
   Retry(number, aMessage.m_code);
@@ -415,7 +455,9 @@
 }
 
 void
-RequestTable::Deliver(Request& aRequest, Attempt& aAttempt, const AnswerData& aData)
+RequestTable::Deliver(Request& aRequest,
+                      Attempt& aAttempt,
+                      const AnswerData& aData)
 {
   const std::uint64_t have = aRequest.m_delivered.size();
   const std::uint64_t end = aData.m_offset + aData.m_bytes.size();
@@ -460,7 +502,9 @@
   }
   const RequestNumber number = attempt->m_request;
   const bool isRepeatable = request->m_new.m_dispatch.m_repeatable;
-  const bool mayTryAgain = aMessage.m_ran == Ran::kNo || (aMessage.m_code == ResultCode::kUpstreamFailed && isRepeatable);
+  const bool mayTryAgain =
+    aMessage.m_ran == Ran::kNo ||
+    (aMessage.m_code == ResultCode::kUpstreamFailed && isRepeatable);
   if (aMessage.m_code == ResultCode::kOk) {
     if (aMessage.m_length > request->m_delivered.size()) {
       Reattach(aMessage.m_attempt, request->m_delivered.size(), false);
@@ -474,7 +518,8 @@
   if (attempt->m_isAttach) {
     DropAttempt(aMessage.m_attempt);
   }
-  const bool isFinal = aMessage.m_code == ResultCode::kKeyReused || aMessage.m_code == ResultCode::kJournalUnavailable ||
+  const bool isFinal = aMessage.m_code == ResultCode::kKeyReused ||
+                       aMessage.m_code == ResultCode::kJournalUnavailable ||
                        aMessage.m_code == ResultCode::kJournalFull;
   if (!mayTryAgain || isFinal) {
     Fail(number, aMessage.m_code, aMessage.m_ran);
@@ -516,8 +561,9 @@
   request.m_current = 0;
   request.m_lastRefusal = aWhy;
   if (++request.m_tries >= m_options.m_maxTries || !TakeRetry()) {
-    const bool mayHaveRun = request.m_mayHaveRun || aWhy == ResultCode::kUpstreamFailed;
-    Fail(aNumber, aWhy, mayHaveRun ? Ran::kUnknown : Ran::kNo);
+    Fail(aNumber,
+         aWhy,
+         aWhy == ResultCode::kUpstreamFailed ? Ran::kUnknown : Ran::kNo);
     return;
   }
   // A pause breaks the recursion and lets a burst of refusals spread out.
@@ -547,7 +593,8 @@
 RequestTable::Lose(AttemptId aAttempt)
 {
   Attempt& attempt = *FindAttempt(aAttempt);
-  if (attempt.m_state == AttemptState::kClaiming || attempt.m_state == AttemptState::kCredit) {
+  if (attempt.m_state == AttemptState::kClaiming ||
+      attempt.m_state == AttemptState::kCredit) {
     // Send() notices that the link is gone.
     return;
   }
@@ -557,7 +604,8 @@
   attempt.m_state = AttemptState::kLost;
   if (Request* request = CurrentOf(aAttempt)) {
     Note("attempt_lost", *request, attempt.m_place);
-    m_timers.m_after(m_options.m_reconnectGrace, [this, aAttempt] { GraceOver(aAttempt); });
+    m_timers.m_after(m_options.m_reconnectGrace,
+                     [this, aAttempt] { GraceOver(aAttempt); });
   }
 }
 
@@ -571,6 +619,17 @@
   }
   const RequestNumber number = attempt->m_request;
   request->m_mayHaveRun = true;
+  if (attempt->m_isAttach) {
+    // Charged to another attempt, perhaps long ago: a second run would be
+    // billed twice. Wait for the place, or say that we do not know.
+    const ClaimReply placed{
+      aAttempt, ClaimVerdict::kPlaced, attempt->m_place, attempt->m_generation
+    };
+    DropAttempt(aAttempt);
+    request->m_current = 0;
+    AttachWhenUp(number, placed, m_timers.m_now());
+    return;
+  }
   request->m_excluded.insert(attempt->m_place);
   Unplace(*request, *attempt);
   // The lost attempt keeps its allotment until its fate is known; of the two
@@ -585,7 +644,8 @@
 {
   std::vector<AttemptId> lost;
   for (const auto& [id, attempt] : m_attempts) {
-    if (attempt.m_place == aUpstream && attempt.m_state == AttemptState::kLost) {
+    if (attempt.m_place == aUpstream &&
+        attempt.m_state == AttemptState::kLost) {
       lost.push_back(id);
     }
   }
@@ -603,7 +663,8 @@
     // Known there: it goes on, or has ended. Unknown: revoked by this question.
     const Request* request = CurrentOf(id);
     FindAttempt(id)->m_state = AttemptState::kAccepted;
-    Reattach(id, request == nullptr ? UINT64_MAX : request->m_delivered.size(), false);
+    Reattach(
+      id, request == nullptr ? UINT64_MAX : request->m_delivered.size(), false);
   }
 }
 
@@ -660,14 +721,21 @@
 RequestTable::Fail(RequestNumber aNumber, ResultCode aCode, Ran aRan)
 {
   const CallerHooks caller = Find(aNumber)->m_new.m_caller;
+  // Whatever the last attempt proves, a lost one may still run.
+  const Ran ran =
+    aRan == Ran::kNo && Find(aNumber)->m_mayHaveRun ? Ran::kUnknown : aRan;
   ++m_counters.m_failed;
-  Note("request_failed", *Find(aNumber), {}, std::string(Describe(aCode).m_name) + ", ran: " + std::string(RanName(aRan)));
+  Note("request_failed",
+       *Find(aNumber),
+       {},
+       std::string(Describe(aCode).m_name) +
+         ", ran: " + std::string(RanName(ran)));
   const AttemptId current = Find(aNumber)->m_current;
   if (const Attempt* attempt = FindAttempt(current)) {
     m_hooks.m_send(attempt->m_place, Cancel{ current });
   }
   EndRequest(aNumber);
-  caller.m_fail({ aCode, aRan });
+  caller.m_fail({ aCode, ran });
 }
 
 void
@@ -675,7 +743,8 @@
 {
   const Request& ending = *Find(aNumber);
   const AttemptId current = ending.m_current;
-  m_hooks.m_ledger().EndDoubled(ending.m_new.m_dispatch.m_account, ending.m_new.m_dispatch.m_key);
+  m_hooks.m_ledger().EndDoubled(ending.m_new.m_dispatch.m_account,
+                                ending.m_new.m_dispatch.m_key);
   m_requests.erase(aNumber);
   Attempt* attempt = FindAttempt(current);
   if (attempt == nullptr) {
--- a/lib/Router/RouterCore.cpp
+++ b/lib/Router/RouterCore.cpp
@@ -11,76 +11,95 @@
 
 } // namespace
 
-RouterCore::RouterCore(RouterOptions aOptions, KeyValueHooks aKeyValue, TimerHooks aTimers, RouterHooks aHooks)
+RouterCore::RouterCore(RouterOptions aOptions,
+                       KeyValueHooks aKeyValue,
+                       TimerHooks aTimers,
+                       RouterHooks aHooks)
   : m_options(std::move(aOptions))
   , m_keyValue(std::move(aKeyValue))
   , m_timers(std::move(aTimers))
   , m_hooks(std::move(aHooks))
-  , m_configWatcher(m_keyValue,
-                    m_timers,
-                    m_config,
-                    [this](const absl::Status& aStatus) {
-                      m_hooks.m_event({ "config_rejected", "", "", "", std::string(aStatus.message()) });
-                    })
-  , m_directory(m_options.m_directory,
-                m_timers,
-                { m_hooks.m_dial,
-                  m_hooks.m_close,
-                  [this](const UpstreamId& aUpstream, bool aIsSameLife) {
-                    m_hooks.m_event({ "agent_up", "", "", aUpstream.Str(), aIsSameLife ? "same life" : "new life" });
-                    m_requests.OnAgentUp(aUpstream, aIsSameLife);
-                  },
-                  [this](const UpstreamId& aUpstream) { m_requests.OnAgentGone(aUpstream); },
-                  [this](const UpstreamId& aUpstream) {
-                    m_hooks.m_event({ "agent_down", "", "", aUpstream.Str(), "" });
-                    m_requests.OnAgentDown(aUpstream);
-                  } })
+  , m_configWatcher(
+      m_keyValue,
+      m_timers,
+      m_config,
+      [this](const absl::Status& aStatus) {
+        m_hooks.m_event(
+          { "config_rejected", "", "", "", std::string(aStatus.message()) });
+      })
+  , m_directory(
+      m_options.m_directory,
+      m_timers,
+      { m_hooks.m_dial,
+        m_hooks.m_close,
+        [this](const UpstreamId& aUpstream, bool aIsSameLife) {
+          m_hooks.m_event({ "agent_up",
+                            "",
+                            "",
+                            aUpstream.Str(),
+                            aIsSameLife ? "same life" : "new life" });
+          m_requests.OnAgentUp(aUpstream, aIsSameLife);
+        },
+        [this](const UpstreamId& aUpstream) {
+          m_requests.OnAgentGone(aUpstream);
+        },
+        [this](const UpstreamId& aUpstream) {
+          m_hooks.m_event({ "agent_down", "", "", aUpstream.Str(), "" });
+          m_requests.OnAgentDown(aUpstream);
+        } })
   , m_balancer(m_options.m_balancer, m_options.m_seed)
   , m_ledger(MakeLedger())
   , m_credit(m_timers,
              { m_hooks.m_send,
                [this]() -> Ledger& { return *m_ledger; },
-               [this](const AccountId& aAccount, const std::vector<HolderId>&) { m_recovery.Hurry(aAccount); } })
-  , m_recovery(m_keyValue,
-               m_timers,
-               { [this] {
-                  std::set<UpstreamId> upstreams;
-                  for (const auto& [id, agent] : m_directory.Agents()) {
-                    upstreams.insert(id);
-                  }
-                  return upstreams;
-                },
-                 [this](const UpstreamId& aUpstream, const Message& aMessage) {
-                   const AgentView* agent = m_directory.Find(aUpstream);
-                   return agent != nullptr && agent->m_isUp && m_hooks.m_send(agent->m_peer, aMessage);
-                 },
-                 [this](const AccountId& aAccount) -> std::optional<std::uint64_t> {
-                   auto account = Current().m_accounts.find(aAccount);
-                   if (account == Current().m_accounts.end()) {
-                     return std::nullopt;
-                   }
-                   return account->second.m_budgetTokens;
-                 },
-                 [this](const HolderId& aHolder) {
-                   m_hooks.m_event({ "holder_recovered", "", "", "", aHolder.Str() });
-                 },
-                 [this](const HolderId& aHolder, const AccountId& aAccount) {
-                   m_hooks.m_event({ "account_released", "", aAccount.Str(), "", aHolder.Str() });
-                 } })
-  , m_holderWatch(m_options.m_holderWatch,
-                  m_keyValue,
-                  m_timers,
-                  { [this] { return m_ledger->Holder(); },
-                    [this] { return m_options.m_process; },
-                    [this](const HolderId& aHolder) {
-                      m_hooks.m_event({ "recovery_begun", "", "", "", aHolder.Str() });
-                      m_recovery.Recover(aHolder);
-                    } })
+               [this](const AccountId& aAccount, const std::vector<HolderId>&) {
+                 m_recovery.Hurry(aAccount);
+               } })
+  , m_recovery(
+      m_keyValue,
+      m_timers,
+      { [this] {
+         std::set<UpstreamId> upstreams;
+         for (const auto& [id, agent] : m_directory.Agents()) {
+           upstreams.insert(id);
+         }
+         return upstreams;
+       },
+        [this](const UpstreamId& aUpstream, const Message& aMessage) {
+          const AgentView* agent = m_directory.Find(aUpstream);
+          return agent != nullptr && agent->m_isUp &&
+                 m_hooks.m_send(agent->m_peer, aMessage);
+        },
+        [this](const AccountId& aAccount) -> std::optional<std::uint64_t> {
+          auto account = Current().m_accounts.find(aAccount);
+          if (account == Current().m_accounts.end()) {
+            return std::nullopt;
+          }
+          return account->second.m_budgetTokens;
+        },
+        [this](const HolderId& aHolder) {
+          m_hooks.m_event({ "holder_recovered", "", "", "", aHolder.Str() });
+        },
+        [this](const HolderId& aHolder, const AccountId& aAccount) {
+          m_hooks.m_event(
+            { "account_released", "", aAccount.Str(), "", aHolder.Str() });
+        } })
+  , m_holderWatch(
+      m_options.m_holderWatch,
+      m_keyValue,
+      m_timers,
+      { [this] { return m_ledger->Holder(); },
+        [this] { return m_options.m_process; },
+        [this](const HolderId& aHolder) {
+          m_hooks.m_event({ "recovery_begun", "", "", "", aHolder.Str() });
+          m_recovery.Recover(aHolder);
+        } })
   , m_requests(m_options.m_requests,
                m_timers,
                { [this](const UpstreamId& aUpstream, Message aMessage) {
                   const AgentView* agent = m_directory.Find(aUpstream);
-                  return agent != nullptr && agent->m_isUp && m_hooks.m_send(agent->m_peer, std::move(aMessage));
+                  return agent != nullptr && agent->m_isUp &&
+                         m_hooks.m_send(agent->m_peer, std::move(aMessage));
                 },
                  [this]() -> Ledger& { return *m_ledger; },
                  [this]() -> const Configuration& { return Current(); },
@@ -93,7 +112,11 @@
     m_peerRouters.push_back({ address, 0, {}, {} });
   }
   m_config.OnChange([this](const ConfigurationPtr& aConfiguration) {
-    m_hooks.m_event({ "config_in_force", "", "", "", "version " + std::to_string(aConfiguration->m_version) });
+    m_hooks.m_event({ "config_in_force",
+                      "",
+                      "",
+                      "",
+                      "version " + std::to_string(aConfiguration->m_version) });
     m_directory.Configure(*aConfiguration);
   });
 }
@@ -110,7 +133,8 @@
 RouterCore::MakeLedger()
 {
   LedgerHooks hooks;
-  hooks.m_initialBudget = [this](const AccountId& aAccount) -> std::optional<std::uint64_t> {
+  hooks.m_initialBudget =
+    [this](const AccountId& aAccount) -> std::optional<std::uint64_t> {
     auto account = Current().m_accounts.find(aAccount);
     if (account == Current().m_accounts.end()) {
       return std::nullopt;
@@ -124,7 +148,8 @@
     m_credit.Ask(aAccount, aTokens, aHolders, std::move(aDone));
   };
   const HolderId holder = m_hooks.m_newHolder();
-  hooks.m_settled = [this, holder](const AgentId& aAgent, std::uint64_t aThrough) {
+  hooks.m_settled = [this, holder](const AgentId& aAgent,
+                                   std::uint64_t aThrough) {
     for (const auto& [id, agent] : m_directory.Agents()) {
       if (agent.m_isUp && agent.m_agent == aAgent) {
         m_hooks.m_send(agent.m_peer, Settled{ holder, aAgent, aThrough });
@@ -132,7 +157,8 @@
     }
   };
   hooks.m_sealed = [this] { ReplaceLedger(); };
-  return std::make_unique<Ledger>(m_options.m_ledger, holder, m_keyValue, m_timers, std::move(hooks));
+  return std::make_unique<Ledger>(
+    m_options.m_ledger, holder, m_keyValue, m_timers, std::move(hooks));
 }
 
 void
@@ -205,7 +231,8 @@
 {
   m_directory.OnHeartbeat(aPeer, aMessage);
   if (aMessage.m_configVersion < Current().m_version) {
-    m_hooks.m_send(aPeer, ConfigOffer{ Current().m_version, m_config.Document() });
+    m_hooks.m_send(aPeer,
+                   ConfigOffer{ Current().m_version, m_config.Document() });
   }
 }
 
@@ -259,7 +286,8 @@
 {
   const absl::Status offered = m_config.Offer(aMessage.m_document);
   if (!offered.ok()) {
-    m_hooks.m_event({ "config_rejected", "", "", "", std::string(offered.message()) });
+    m_hooks.m_event(
+      { "config_rejected", "", "", "", std::string(offered.message()) });
   }
 }
 
@@ -283,7 +311,9 @@
   heartbeat.m_draining = m_stopping;
   heartbeat.m_running = static_cast<std::uint32_t>(m_requests.UnderWay());
   heartbeat.m_ageMilliseconds = static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.m_now() - m_startedAt).count());
+    std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.m_now() -
+                                                          m_startedAt)
+      .count());
   return heartbeat;
 }
 
@@ -320,10 +350,12 @@
 std::vector<ProcessVersion>
 RouterCore::Versions() const
 {
-  std::vector<ProcessVersion> versions{ { m_options.m_process, Current().m_version } };
+  std::vector<ProcessVersion> versions{ { m_options.m_process,
+                                          Current().m_version } };
   for (const auto& [id, agent] : m_directory.Agents()) {
     if (agent.m_isUp) {
-      versions.push_back({ "agent " + id.Str(), agent.m_heartbeat.m_configVersion });
+      versions.push_back(
+        { "agent " + id.Str(), agent.m_heartbeat.m_configVersion });
     }
   }
   return versions;
@@ -339,9 +371,11 @@
 void
 RouterCore::FinishRetirement(std::function<void()> aDone)
 {
-  const bool isBusy = m_requests.UnderWay() > 0 || m_ledger->OutstandingAttempts() > 0;
+  const bool isBusy =
+    m_requests.UnderWay() > 0 || m_ledger->OutstandingAttempts() > 0;
   if (isBusy) {
-    m_timers.m_after(kRetirePoll, [this, done = std::move(aDone)] { FinishRetirement(done); });
+    m_timers.m_after(
+      kRetirePoll, [this, done = std::move(aDone)] { FinishRetirement(done); });
     return;
   }
   m_holderWatch.Stop();
--- a/lib/StandIn/EngineServer.cpp
+++ b/lib/StandIn/EngineServer.cpp
@@ -14,8 +14,9 @@
 
 using nlohmann::json;
 
-constexpr std::array<std::string_view, 8> kWords{ "linen ", "apron ", "towel ", "dock ",
-                                                  "aisle ", "sign ",  "label ", "shelf " };
+constexpr std::array<std::string_view, 8> kWords{ "linen ", "apron ", "towel ",
+                                                  "dock ",  "aisle ", "sign ",
+                                                  "label ", "shelf " };
 constexpr Duration kLoadReportInterval = std::chrono::milliseconds(1000);
 constexpr std::uint64_t kBytesPerToken = 4;
 
@@ -53,7 +54,8 @@
     m_loop->Post([this] { ReportLoad(); });
   }
 
-  void Handle(const HttpRequest& aRequest, const HttpResponderPtr& aResponder) override
+  void Handle(const HttpRequest& aRequest,
+              const HttpResponderPtr& aResponder) override
   {
     const json body = json::parse(aRequest.m_body, nullptr, false);
     if (aRequest.m_path == "/runs") {
@@ -100,7 +102,9 @@
     aResponder->SendJson(200, "{}");
   }
 
-  void Accept(const HttpRequest& aRequest, const json& aBody, const HttpResponderPtr& aResponder)
+  void Accept(const HttpRequest& aRequest,
+              const json& aBody,
+              const HttpResponderPtr& aResponder)
   {
     auto request = std::make_shared<EngineRequest>();
     request->m_responder = aResponder;
@@ -109,7 +113,8 @@
     request->m_priority = aBody.value("priority", 0);
     request->m_seed = request->m_promptTokens;
     if (aBody.contains("resume")) {
-      request->m_generated = aBody["resume"].value("tokens", std::uint64_t{ 0 });
+      request->m_generated =
+        aBody["resume"].value("tokens", std::uint64_t{ 0 });
     }
     request->m_record = m_records.size();
     m_records.push_back({ { "request_id", aRequest.Header("x-request-id") },
@@ -121,9 +126,10 @@
     aResponder->OnClosed([loop = m_loop, this, request] {
       loop->Post([this, request] { Cancel(request); });
     });
-    auto place = std::find_if(m_queue.begin(), m_queue.end(), [&](const EngineRequestPtr& aOther) {
-      return aOther->m_priority < request->m_priority;
-    });
+    auto place = std::find_if(
+      m_queue.begin(), m_queue.end(), [&](const EngineRequestPtr& aOther) {
+        return aOther->m_priority < request->m_priority;
+      });
     m_queue.insert(place, request);
     StartReady();
   }
@@ -136,13 +142,15 @@
       m_running.insert(request);
       m_records[request->m_record]["outcome"] = "running";
       request->m_responder->Start(200, "text/event-stream", {});
-      m_loop->After(Slowed(m_options.m_firstToken), [this, request] { Generate(request); });
+      m_loop->After(Slowed(m_options.m_firstToken),
+                    [this, request] { Generate(request); });
     }
   }
 
   Duration Slowed(Duration aDuration) const
   {
-    return Duration(static_cast<Duration::rep>(static_cast<double>(aDuration.count()) * m_slowdown));
+    return Duration(static_cast<Duration::rep>(
+      static_cast<double>(aDuration.count()) * m_slowdown));
   }
 
   void Generate(const EngineRequestPtr& aRequest)
@@ -151,41 +159,53 @@
       return;
     }
     json& record = m_records[aRequest->m_record];
-    if (m_failAfterTokens >= 0 && record["completion_tokens"].get<int>() >= m_failAfterTokens) {
+    if (m_failAfterTokens >= 0 &&
+        record["completion_tokens"].get<int>() >= m_failAfterTokens) {
       aRequest->m_responder->Abort();
       End(aRequest, "failed");
       return;
     }
-    const std::string_view word = kWords[(aRequest->m_seed + aRequest->m_generated) % kWords.size()];
+    const std::string_view word =
+      kWords[(aRequest->m_seed + aRequest->m_generated) % kWords.size()];
     ++aRequest->m_generated;
-    record["completion_tokens"] = record["completion_tokens"].get<std::uint64_t>() + 1;
+    record["completion_tokens"] =
+      record["completion_tokens"].get<std::uint64_t>() + 1;
     const bool isLast = aRequest->m_generated >= aRequest->m_maxTokens;
-    aRequest->m_responder->Write(Chunk(*aRequest, std::string(word), isLast) + (isLast ? "data: [DONE]\n\n" : ""));
+    aRequest->m_responder->Write(Chunk(*aRequest, std::string(word), isLast) +
+                                 (isLast ? "data: [DONE]\n\n" : ""));
     if (isLast) {
       aRequest->m_responder->End();
       End(aRequest, "done");
       return;
     }
-    m_loop->After(Slowed(m_options.m_tokenInterval), [this, aRequest] { Generate(aRequest); });
+    m_loop->After(Slowed(m_options.m_tokenInterval),
+                  [this, aRequest] { Generate(aRequest); });
   }
 
-  std::string Chunk(const EngineRequest& aRequest, const std::string& aText, bool aIsLast) const
+  std::string Chunk(const EngineRequest& aRequest,
+                    const std::string& aText,
+                    bool aIsLast) const
   {
-    const auto completed = m_records[aRequest.m_record]["completion_tokens"].get<std::uint64_t>();
+    const auto completed =
+      m_records[aRequest.m_record]["completion_tokens"].get<std::uint64_t>();
     const json chunk = {
       { "choices",
         json::array({ { { "index", 0 },
                         { "delta", { { "content", aText } } },
-                        { "finish_reason", aIsLast ? json("length") : json(nullptr) } } }) },
-      { "usage", { { "prompt_tokens", aRequest.m_promptTokens }, { "completion_tokens", completed } } }
+                        { "finish_reason",
+                          aIsLast ? json("length") : json(nullptr) } } }) },
+      { "usage",
+        { { "prompt_tokens", aRequest.m_promptTokens },
+          { "completion_tokens", completed } } }
     };
     return "data: " + chunk.dump() + "\n\n";
   }
 
   void Cancel(const EngineRequestPtr& aRequest)
   {
-    const bool isKnown = m_running.contains(aRequest) ||
-                         std::find(m_queue.begin(), m_queue.end(), aRequest) != m_queue.end();
+    const bool isKnown =
+      m_running.contains(aRequest) ||
+      std::find(m_queue.begin(), m_queue.end(), aRequest) != m_queue.end();
     if (isKnown) {
       End(aRequest, "cancelled");
     }
@@ -201,7 +221,8 @@
 
   void ReportLoad()
   {
-    m_reportedLoad = { { "running", m_running.size() }, { "waiting", m_queue.size() } };
+    m_reportedLoad = { { "running", m_running.size() },
+                       { "waiting", m_queue.size() } };
     m_loop->After(kLoadReportInterval, [this] { ReportLoad(); });
   }
 
--- a/lib/StandIn/KeyValueServer.cpp
+++ b/lib/StandIn/KeyValueServer.cpp
@@ -29,7 +29,8 @@
     m_loop->Post([this] { Expire(); });
   }
 
-  void Handle(const HttpRequest& aRequest, const HttpResponderPtr& aResponder) override
+  void Handle(const HttpRequest& aRequest,
+              const HttpResponderPtr& aResponder) override
   {
     if (aRequest.m_path == "/faults") {
       SetFaults(json::parse(aRequest.m_body, nullptr, false));
@@ -37,7 +38,8 @@
       return;
     }
     if (aRequest.m_path == "/runs") {
-      aResponder->SendJson(200, json{ { "reads", m_reads }, { "writes", m_writes } }.dump());
+      aResponder->SendJson(
+        200, json{ { "reads", m_reads }, { "writes", m_writes } }.dump());
       return;
     }
     if (m_isDown) {
@@ -45,7 +47,8 @@
       return;
     }
     if (m_delay.count() > 0) {
-      m_loop->After(m_delay, [this, aRequest, aResponder] { Serve(aRequest, aResponder); });
+      m_loop->After(
+        m_delay, [this, aRequest, aResponder] { Serve(aRequest, aResponder); });
       return;
     }
     Serve(aRequest, aResponder);
@@ -62,8 +65,9 @@
   void SetFaults(const json& aFaults)
   {
     m_isDown = aFaults.value("down", m_isDown);
-    m_delay = std::chrono::milliseconds(
-      aFaults.value("delay_ms", std::chrono::duration_cast<std::chrono::milliseconds>(m_delay).count()));
+    m_delay = std::chrono::milliseconds(aFaults.value(
+      "delay_ms",
+      std::chrono::duration_cast<std::chrono::milliseconds>(m_delay).count()));
     m_answersToLose = aFaults.value("lose_answers", m_answersToLose);
     m_rates.m_writes = aFaults.value("writes_per_second", m_rates.m_writes);
     m_rates.m_reads = aFaults.value("reads_per_second", m_rates.m_reads);
@@ -88,15 +92,20 @@
     ++(isWrite ? m_writes : m_reads);
     const std::string& path = aRequest.m_path;
     if (path.starts_with(kKeyPrefix) && isWrite) {
-      Put(path.substr(kKeyPrefix.size()), json::parse(aRequest.m_body, nullptr, false), aResponder);
+      Put(path.substr(kKeyPrefix.size()),
+          json::parse(aRequest.m_body, nullptr, false),
+          aResponder);
       return;
     }
     if (path.starts_with(kKeyPrefix)) {
-      aResponder->SendJson(200, ToJson(m_store.Get(path.substr(kKeyPrefix.size()))).dump());
+      aResponder->SendJson(
+        200, ToJson(m_store.Get(path.substr(kKeyPrefix.size()))).dump());
       return;
     }
     if (path.starts_with(kLeasePrefix) && isWrite) {
-      KeepAlive(path.substr(kLeasePrefix.size()), json::parse(aRequest.m_body, nullptr, false), aResponder);
+      KeepAlive(path.substr(kLeasePrefix.size()),
+                json::parse(aRequest.m_body, nullptr, false),
+                aResponder);
       return;
     }
     if (path.starts_with(kWatchPrefix)) {
@@ -114,31 +123,38 @@
     aResponder->SendJson(404, R"({"error":"no such path"})");
   }
 
-  void Put(const std::string& aKey, const json& aBody, const HttpResponderPtr& aResponder)
+  void Put(const std::string& aKey,
+           const json& aBody,
+           const HttpResponderPtr& aResponder)
   {
     if (!aBody.is_object()) {
-      aResponder->SendJson(400, R"({"error":"the body must be a JSON object"})");
+      aResponder->SendJson(400,
+                           R"({"error":"the body must be a JSON object"})");
       return;
     }
     std::optional<std::string> value;
     if (aBody.contains("value")) {
       value = aBody["value"].get<std::string>();
     }
-    const absl::StatusOr<std::uint64_t> revision =
-      m_store.CompareAndSwap(aKey, aBody.value("expected_revision", std::uint64_t{ 0 }), value);
+    const absl::StatusOr<std::uint64_t> revision = m_store.CompareAndSwap(
+      aKey, aBody.value("expected_revision", std::uint64_t{ 0 }), value);
     if (!revision.ok()) {
-      aResponder->SendJson(409, R"({"error":"the key is at another revision"})");
+      aResponder->SendJson(409,
+                           R"({"error":"the key is at another revision"})");
       return;
     }
     Changed(aKey);
     Answer(json{ { "revision", *revision } }.dump(), aResponder);
   }
 
-  void KeepAlive(const std::string& aKey, const json& aBody, const HttpResponderPtr& aResponder)
+  void KeepAlive(const std::string& aKey,
+                 const json& aBody,
+                 const HttpResponderPtr& aResponder)
   {
-    const Duration timeToLive = std::chrono::milliseconds(aBody.value("ttl_ms", 1000));
-    const std::uint64_t revision =
-      m_store.KeepAlive(aKey, aBody.value("value", std::string()), timeToLive, m_loop->Now());
+    const Duration timeToLive =
+      std::chrono::milliseconds(aBody.value("ttl_ms", 1000));
+    const std::uint64_t revision = m_store.KeepAlive(
+      aKey, aBody.value("value", std::string()), timeToLive, m_loop->Now());
     Answer(json{ { "revision", revision } }.dump(), aResponder);
   }
 
@@ -153,16 +169,21 @@
     aResponder->SendJson(200, aBody);
   }
 
-  void StartWatch(const std::string& aKey, const HttpRequest& aRequest, const HttpResponderPtr& aResponder)
+  void StartWatch(const std::string& aKey,
+                  const HttpRequest& aRequest,
+                  const HttpResponderPtr& aResponder)
   {
-    const std::uint64_t after = std::strtoull(aRequest.Query("after").c_str(), nullptr, 10);
-    const Duration wait = std::chrono::milliseconds(std::strtoull(aRequest.Query("timeout_ms").c_str(), nullptr, 10));
+    const std::uint64_t after =
+      std::strtoull(aRequest.Query("after").c_str(), nullptr, 10);
+    const Duration wait = std::chrono::milliseconds(
+      std::strtoull(aRequest.Query("timeout_ms").c_str(), nullptr, 10));
     if (m_store.Get(aKey).m_revision > after) {
       aResponder->SendJson(200, ToJson(m_store.Get(aKey)).dump());
       return;
     }
     auto watch = m_watches.emplace(aKey, Watch{ after, aResponder });
-    m_loop->After(wait, [this, aKey, aResponder] { EndWatch(aKey, aResponder); });
+    m_loop->After(wait,
+                  [this, aKey, aResponder] { EndWatch(aKey, aResponder); });
     static_cast<void>(watch);
   }
 
--- a/lib/StandIn/KeyValueStore.cpp
+++ b/lib/StandIn/KeyValueStore.cpp
@@ -20,14 +20,18 @@
 KeyValueStore::List(const std::string& aPrefix) const
 {
   std::map<std::string, KeyValueEntry> entries;
-  for (auto it = m_entries.lower_bound(aPrefix); it != m_entries.end() && it->first.starts_with(aPrefix); ++it) {
+  for (auto it = m_entries.lower_bound(aPrefix);
+       it != m_entries.end() && it->first.starts_with(aPrefix);
+       ++it) {
     entries.insert(*it);
   }
   return entries;
 }
 
 absl::StatusOr<std::uint64_t>
-KeyValueStore::CompareAndSwap(const std::string& aKey, std::uint64_t aRevision, const std::optional<std::string>& aValue)
+KeyValueStore::CompareAndSwap(const std::string& aKey,
+                              std::uint64_t aRevision,
+                              const std::optional<std::string>& aValue)
 {
   if (Get(aKey).m_revision != aRevision) {
     return absl::AbortedError("the key is at another revision");
@@ -43,7 +47,10 @@
 }
 
 std::uint64_t
-KeyValueStore::KeepAlive(const std::string& aKey, const std::string& aValue, Duration aTimeToLive, Instant aNow)
+KeyValueStore::KeepAlive(const std::string& aKey,
+                         const std::string& aValue,
+                         Duration aTimeToLive,
+                         Instant aNow)
 {
   KeyValueEntry& entry = m_entries[aKey];
   if (entry.m_revision == 0 || entry.m_value != aValue) {
@@ -71,7 +78,8 @@
   if (aAllowance.m_isNew) {
     aAllowance = { aRate, aNow, false };
   }
-  const double seconds = std::chrono::duration<double>(aNow - aAllowance.m_filledAt).count();
+  const double seconds =
+    std::chrono::duration<double>(aNow - aAllowance.m_filledAt).count();
   aAllowance.m_calls = std::min(aRate, aAllowance.m_calls + seconds * aRate);
   aAllowance.m_filledAt = aNow;
   if (aAllowance.m_calls < 1) {
--- a/lib/StandIn/PlainServers.cpp
+++ b/lib/StandIn/PlainServers.cpp
@@ -18,7 +18,8 @@
   {
   }
 
-  void Handle(const HttpRequest& aRequest, const HttpResponderPtr& aResponder) override
+  void Handle(const HttpRequest& aRequest,
+              const HttpResponderPtr& aResponder) override
   {
     if (aRequest.m_path == "/runs") {
       aResponder->SendJson(200, json{ { "runs", m_records } }.dump());
@@ -30,28 +31,34 @@
     }
     if (aRequest.m_path == "/faults") {
       const json faults = json::parse(aRequest.m_body, nullptr, false);
-      m_callTime = std::chrono::milliseconds(
-        faults.value("delay_ms", std::chrono::duration_cast<std::chrono::milliseconds>(m_callTime).count()));
+      m_callTime = std::chrono::milliseconds(faults.value(
+        "delay_ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_callTime)
+          .count()));
       m_answersToLose = faults.value("lose_answers", m_answersToLose);
       aResponder->SendJson(200, "{}");
       return;
     }
-    m_loop->After(m_callTime, [this, aRequest, aResponder] { Run(aRequest, aResponder); });
+    m_loop->After(m_callTime,
+                  [this, aRequest, aResponder] { Run(aRequest, aResponder); });
   }
 
 private:
   void Run(const HttpRequest& aRequest, const HttpResponderPtr& aResponder)
   {
-    m_records.push_back({ { "path", aRequest.m_path },
-                          { "idempotency_key", aRequest.Header("idempotency-key") },
-                          { "account", aRequest.Header("x-account") },
-                          { "outcome", "done" } });
+    m_records.push_back(
+      { { "path", aRequest.m_path },
+        { "idempotency_key", aRequest.Header("idempotency-key") },
+        { "account", aRequest.Header("x-account") },
+        { "outcome", "done" } });
     if (m_answersToLose > 0) {
       --m_answersToLose;
       aResponder->Abort();
       return;
     }
-    aResponder->SendJson(200, json{ { "done", aRequest.m_path }, { "run", m_records.size() } }.dump());
+    aResponder->SendJson(
+      200,
+      json{ { "done", aRequest.m_path }, { "run", m_records.size() } }.dump());
   }
 
   EventLoop* m_loop;
@@ -68,7 +75,8 @@
   {
   }
 
-  void Handle(const HttpRequest& aRequest, const HttpResponderPtr& aResponder) override
+  void Handle(const HttpRequest& aRequest,
+              const HttpResponderPtr& aResponder) override
   {
     if (aRequest.m_path == "/faults") {
       const json faults = json::parse(aRequest.m_body, nullptr, false);
--- a/lib/Testing/FakeFleet.cpp
+++ b/lib/Testing/FakeFleet.cpp
@@ -19,7 +19,8 @@
 std::uint64_t
 WallOf(const VirtualTime& aTime)
 {
-  const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(aTime.Now().time_since_epoch());
+  const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aTime.Now().time_since_epoch());
   return kWallOrigin + static_cast<std::uint64_t>(since.count());
 }
 
@@ -55,7 +56,8 @@
   bool m_isEngine = true;
   std::unique_ptr<Journal> m_journal;
   std::unique_ptr<AgentNode> m_node;
-  std::vector<std::pair<std::unique_ptr<AgentNode>, std::unique_ptr<Journal>>> m_ended;
+  std::vector<std::pair<std::unique_ptr<AgentNode>, std::unique_ptr<Journal>>>
+    m_ended;
   std::set<RunId> m_cancelled;
   double m_slowdown = 1;
 };
@@ -66,7 +68,8 @@
   , m_network(m_time, kOneWay)
 {
   ApplyConfig({});
-  for (int i = 0; i < m_options.m_chatUpstreams + m_options.m_serviceUpstreams; ++i) {
+  for (int i = 0; i < m_options.m_chatUpstreams + m_options.m_serviceUpstreams;
+       ++i) {
     m_agents.push_back(std::make_unique<AgentHost>(m_time));
     m_agents.back()->m_isEngine = i < m_options.m_chatUpstreams;
     StartAgent(i);
@@ -89,38 +92,55 @@
 }
 
 std::string
-FakeFleet::ConfigText(std::uint64_t aVersion, const std::set<std::string>& aDrained) const
+FakeFleet::ConfigText(std::uint64_t aVersion,
+                      const std::set<std::string>& aDrained) const
 {
   json accounts = json::object();
   for (const auto& [name, tokens] : m_options.m_budgets) {
-    accounts[name] = { { "api_key_sha256", json::array() }, { "budget_tokens", tokens } };
+    accounts[name] = { { "api_key_sha256", json::array() },
+                       { "budget_tokens", tokens } };
   }
   json pools = json::object();
   for (const char* pool : { kChatPool, kServicePool }) {
     pools[pool] = { { "slots", m_options.m_admission.m_slots },
-                    { "slots_kept_for_short", m_options.m_admission.m_slotsKeptForShort },
+                    { "slots_kept_for_short",
+                      m_options.m_admission.m_slotsKeptForShort },
                     { "max_waiting", m_options.m_admission.m_maxWaiting },
                     { "short_tokens", m_options.m_admission.m_shortTokens },
                     { "upstreams", json::object() } };
   }
-  for (int i = 0; i < m_options.m_chatUpstreams + m_options.m_serviceUpstreams; ++i) {
+  for (int i = 0; i < m_options.m_chatUpstreams + m_options.m_serviceUpstreams;
+       ++i) {
     const std::string name = AgentName(i);
     const char* pool = i < m_options.m_chatUpstreams ? kChatPool : kServicePool;
-    pools[pool]["upstreams"][name] = { { "agent", name },
-                                       { "zone", m_options.m_zones[i % m_options.m_zones.size()] },
-                                       { "state", aDrained.contains(name) ? "drained" : "active" } };
+    pools[pool]["upstreams"][name] = {
+      { "agent", name },
+      { "zone", m_options.m_zones[i % m_options.m_zones.size()] },
+      { "state", aDrained.contains(name) ? "drained" : "active" }
+    };
   }
-  const json calls = json::array({ { { "method", "POST" }, { "path", "/book" }, { "repeatable", false }, { "cost_tokens", kCallCost } },
-                                   { { "method", "POST" }, { "path", "/look" }, { "repeatable", true }, { "cost_tokens", kCallCost } } });
-  const json content = { { "accounts", accounts },
-                         { "pools", pools },
-                         { "models", { { "m", { { "pool", kChatPool }, { "max_output_tokens", 100000 } } } } },
-                         { "services", { { "desk", { { "pool", kServicePool }, { "calls", calls } } } } } };
-  return json{ { "version", aVersion },
-               { "change_id", "c" + std::to_string(aVersion) },
-               { "author", "test" },
-               { "content", content } }
-    .dump();
+  const json calls = json::array({ { { "method", "POST" },
+                                     { "path", "/book" },
+                                     { "repeatable", false },
+                                     { "cost_tokens", kCallCost } },
+                                   { { "method", "POST" },
+                                     { "path", "/look" },
+                                     { "repeatable", true },
+                                     { "cost_tokens", kCallCost } } });
+  const json content = {
+    { "accounts", accounts },
+    { "pools", pools },
+    { "models",
+      { { "m", { { "pool", kChatPool }, { "max_output_tokens", 100000 } } } } },
+    { "services",
+      { { "desk", { { "pool", kServicePool }, { "calls", calls } } } } }
+  };
+  return json{
+    { "version", aVersion },
+    { "change_id", "c" + std::to_string(aVersion) },
+    { "author", "test" },
+    { "content", content }
+  }.dump();
 }
 
 std::uint64_t
@@ -129,15 +149,18 @@
   const KeyValueEntry current = m_keyValue.Store().Get(kConfigKey);
   std::uint64_t version = 1;
   if (current.m_revision != 0) {
-    version = json::parse(current.m_value).at("version").get<std::uint64_t>() + 1;
+    version =
+      json::parse(current.m_value).at("version").get<std::uint64_t>() + 1;
   }
-  const auto written =
-    m_keyValue.Store().CompareAndSwap(kConfigKey, current.m_revision, ConfigText(version, aDrained));
+  const auto written = m_keyValue.Store().CompareAndSwap(
+    kConfigKey, current.m_revision, ConfigText(version, aDrained));
   return written.ok() ? version : 0;
 }
 
 bool
-FakeFleet::TopUp(const std::string& aAccount, const std::string& aId, std::uint64_t aTokens)
+FakeFleet::TopUp(const std::string& aAccount,
+                 const std::string& aId,
+                 std::uint64_t aTokens)
 {
   const std::string key = BudgetKey(AccountId(aAccount));
   const KeyValueEntry entry = m_keyValue.Store().Get(key);
@@ -147,7 +170,9 @@
     budget = *BudgetValue::FromJson(entry.m_value);
   }
   budget.m_topUps[aId] = aTokens;
-  return m_keyValue.Store().CompareAndSwap(key, entry.m_revision, budget.ToJson()).ok();
+  return m_keyValue.Store()
+    .CompareAndSwap(key, entry.m_revision, budget.ToJson())
+    .ok();
 }
 
 EventHook
@@ -165,9 +190,15 @@
   hooks.m_send = [this, aName](PeerId aPeer, const Message& aMessage) {
     return m_network.Send(aName, aPeer, aMessage);
   };
-  hooks.m_dial = [this, aName](const std::string& aAddress) { return m_network.Dial(aName, aAddress); };
-  hooks.m_close = [this, aName](PeerId aPeer) { m_network.Close(aName, aPeer); };
-  hooks.m_newHolder = [this, aName] { return HolderId(absl::StrCat(aName, "-life", ++m_lives)); };
+  hooks.m_dial = [this, aName](const std::string& aAddress) {
+    return m_network.Dial(aName, aAddress);
+  };
+  hooks.m_close = [this, aName](PeerId aPeer) {
+    m_network.Close(aName, aPeer);
+  };
+  hooks.m_newHolder = [this, aName] {
+    return HolderId(absl::StrCat(aName, "-life", ++m_lives));
+  };
   hooks.m_event = EventsOf(aName);
   return hooks;
 }
@@ -191,14 +222,17 @@
       options.m_peerAddresses.push_back(RouterName(i));
     }
   }
-  auto keyValue =
-    m_keyValue.HooksFor(host.m_process, [this, name] { return !m_cutFromKeyValue.contains(name); });
-  host.m_core = std::make_unique<RouterCore>(options, keyValue, host.m_process.Timers(), MakeRouterHooks(name));
+  auto keyValue = m_keyValue.HooksFor(
+    host.m_process, [this, name] { return !m_cutFromKeyValue.contains(name); });
+  host.m_core = std::make_unique<RouterCore>(
+    options, keyValue, host.m_process.Timers(), MakeRouterHooks(name));
   RouterCore* core = host.m_core.get();
   NetworkNode node;
   node.m_process = &host.m_process;
   node.m_opened = [core](PeerId aPeer) { core->OnOpened(aPeer); };
-  node.m_message = [core](PeerId aPeer, const Message& aMessage) { core->OnMessage(aPeer, aMessage); };
+  node.m_message = [core](PeerId aPeer, const Message& aMessage) {
+    core->OnMessage(aPeer, aMessage);
+  };
   node.m_closed = [core](PeerId aPeer) { core->OnClosed(aPeer); };
   m_network.Add(name, std::move(node));
   core->Start();
@@ -228,8 +262,13 @@
   hooks.m_agent.m_send = [this, name](PeerId aPeer, const Message& aMessage) {
     m_network.Send(name, aPeer, aMessage);
   };
-  hooks.m_agent.m_start = [this, aIndex](RunId aRun, const Dispatch& aDispatch) { StartWork(aIndex, aRun, aDispatch); };
-  hooks.m_agent.m_cancel = [this, aIndex](RunId aRun) { CancelWork(aIndex, aRun); };
+  hooks.m_agent.m_start = [this, aIndex](RunId aRun,
+                                         const Dispatch& aDispatch) {
+    StartWork(aIndex, aRun, aDispatch);
+  };
+  hooks.m_agent.m_cancel = [this, aIndex](RunId aRun) {
+    CancelWork(aIndex, aRun);
+  };
   hooks.m_agent.m_event = EventsOf(name);
   hooks.m_close = [this, name](PeerId aPeer) { m_network.Close(name, aPeer); };
   return hooks;
@@ -240,7 +279,8 @@
 {
   AgentHost& host = *m_agents[aIndex];
   if (host.m_node != nullptr) {
-    host.m_ended.emplace_back(std::move(host.m_node), std::move(host.m_journal));
+    host.m_ended.emplace_back(std::move(host.m_node),
+                              std::move(host.m_journal));
     host.m_process.Begin();
   }
   const std::string name = AgentName(aIndex);
@@ -249,16 +289,22 @@
   options.m_agent.m_upstream = UpstreamId(name);
   options.m_agent.m_agent = AgentId(absl::StrCat(name, "-life", ++m_lives));
   options.m_agent.m_zone = m_options.m_zones[aIndex % m_options.m_zones.size()];
-  auto keyValue =
-    m_keyValue.HooksFor(host.m_process, [this, name] { return !m_cutFromKeyValue.contains(name); });
-  host.m_journal = std::make_unique<Journal>(
-    JournalOptions{}, options.m_agent.m_agent, keyValue, host.m_process.Timers(), [this] { return WallOf(m_time); });
-  host.m_node = std::make_unique<AgentNode>(options, host.m_process.Timers(), MakeAgentHooks(aIndex), *host.m_journal);
+  auto keyValue = m_keyValue.HooksFor(
+    host.m_process, [this, name] { return !m_cutFromKeyValue.contains(name); });
+  host.m_journal = std::make_unique<Journal>(JournalOptions{},
+                                             options.m_agent.m_agent,
+                                             keyValue,
+                                             host.m_process.Timers(),
+                                             [this] { return WallOf(m_time); });
+  host.m_node = std::make_unique<AgentNode>(
+    options, host.m_process.Timers(), MakeAgentHooks(aIndex), *host.m_journal);
   AgentNode* agent = host.m_node.get();
   NetworkNode node;
   node.m_process = &host.m_process;
   node.m_opened = [agent](PeerId aPeer) { agent->OnOpened(aPeer); };
-  node.m_message = [agent](PeerId aPeer, const Message& aMessage) { agent->OnMessage(aPeer, aMessage); };
+  node.m_message = [agent](PeerId aPeer, const Message& aMessage) {
+    agent->OnMessage(aPeer, aMessage);
+  };
   node.m_closed = [agent](PeerId aPeer) { agent->OnClosed(aPeer); };
   m_network.Add(name, std::move(node));
   agent->Start();
@@ -274,13 +320,16 @@
 RouterCore*
 FakeFleet::Router(int aIndex)
 {
-  return m_routers[aIndex]->m_process.IsAlive() ? m_routers[aIndex]->m_core.get() : nullptr;
+  return m_routers[aIndex]->m_process.IsAlive()
+           ? m_routers[aIndex]->m_core.get()
+           : nullptr;
 }
 
 AgentNode*
 FakeFleet::Agent(int aIndex)
 {
-  return m_agents[aIndex]->m_process.IsAlive() ? m_agents[aIndex]->m_node.get() : nullptr;
+  return m_agents[aIndex]->m_process.IsAlive() ? m_agents[aIndex]->m_node.get()
+                                               : nullptr;
 }
 
 FakeProcess&
@@ -332,7 +381,9 @@
 }
 
 NewRequest
-FakeFleet::MakeChat(const std::string& aAccount, const std::string& aKey, std::uint64_t aTokens) const
+FakeFleet::MakeChat(const std::string& aAccount,
+                    const std::string& aKey,
+                    std::uint64_t aTokens) const
 {
   NewRequest request;
   request.m_pool = kChatPool;
@@ -349,7 +400,9 @@
 }
 
 NewRequest
-FakeFleet::MakeCall(const std::string& aAccount, const std::string& aKey, bool aRepeatable) const
+FakeFleet::MakeCall(const std::string& aAccount,
+                    const std::string& aKey,
+                    bool aRepeatable) const
 {
   NewRequest request;
   request.m_pool = kServicePool;
@@ -373,7 +426,8 @@
 {
   RouterHost& host = *m_routers[aRouter];
   RouterCore* core = host.m_core.get();
-  host.m_process.Guard([core, request = std::move(aRequest)] { core->Begin(request); })();
+  host.m_process.Guard(
+    [core, request = std::move(aRequest)] { core->Begin(request); })();
 }
 
 void
@@ -385,8 +439,10 @@
   record.m_upstream = AgentName(aAgent);
   record.m_kind = aDispatch.m_kind;
   record.m_startedAt = m_time.Now();
-  record.m_tokens = aDispatch.m_kind == WorkKind::kChat ? m_options.m_upstream.m_promptTokens + aDispatch.m_maxOutput
-                                                        : aDispatch.m_fixedCost;
+  record.m_tokens =
+    aDispatch.m_kind == WorkKind::kChat
+      ? m_options.m_upstream.m_promptTokens + aDispatch.m_maxOutput
+      : aDispatch.m_fixedCost;
   m_runs.push_back(record);
   const std::size_t index = m_runs.size() - 1;
   if (aDispatch.m_kind == WorkKind::kChat) {
@@ -396,27 +452,39 @@
   // A call once started runs whatever becomes of the agent.
   AgentHost& host = *m_agents[aAgent];
   AgentNode* node = host.m_node.get();
-  m_time.After(m_options.m_upstream.m_callTime, [this, index] { m_runs[index].m_isComplete = true; });
-  m_time.After(m_options.m_upstream.m_callTime, host.m_process.Guard([node, aRun, aDispatch] {
+  m_time.After(m_options.m_upstream.m_callTime,
+               [this, index] { m_runs[index].m_isComplete = true; });
+  m_time.After(m_options.m_upstream.m_callTime,
+               host.m_process.Guard([node, aRun, aDispatch] {
                  UpstreamOutcome outcome;
                  outcome.m_contentType = "text/plain";
-                 node->Core().OnUpstreamData(aRun, "done " + aDispatch.m_key.Str(), 0);
+                 node->Core().OnUpstreamData(
+                   aRun, "done " + aDispatch.m_key.Str(), 0);
                  node->Core().OnUpstreamEnd(aRun, outcome);
                }));
 }
 
 void
-FakeFleet::StartChat(int aAgent, RunId aRun, const Dispatch& aDispatch, std::size_t aRecord)
+FakeFleet::StartChat(int aAgent,
+                     RunId aRun,
+                     const Dispatch& aDispatch,
+                     std::size_t aRecord)
 {
   AgentHost& host = *m_agents[aAgent];
-  const auto wait = std::chrono::duration_cast<Duration>(m_options.m_upstream.m_firstToken * host.m_slowdown);
-  m_time.After(wait, host.m_process.Guard([this, aAgent, aRun, aDispatch, aRecord] {
-                 NextToken(aAgent, aRun, aDispatch, aDispatch.m_resumeTokens, aRecord);
-               }));
+  const auto wait = std::chrono::duration_cast<Duration>(
+    m_options.m_upstream.m_firstToken * host.m_slowdown);
+  m_time.After(
+    wait, host.m_process.Guard([this, aAgent, aRun, aDispatch, aRecord] {
+      NextToken(aAgent, aRun, aDispatch, aDispatch.m_resumeTokens, aRecord);
+    }));
 }
 
 void
-FakeFleet::NextToken(int aAgent, RunId aRun, const Dispatch& aDispatch, std::uint64_t aIndex, std::size_t aRecord)
+FakeFleet::NextToken(int aAgent,
+                     RunId aRun,
+                     const Dispatch& aDispatch,
+                     std::uint64_t aIndex,
+                     std::size_t aRecord)
 {
   AgentHost& host = *m_agents[aAgent];
   UpstreamOutcome outcome;
@@ -435,11 +503,15 @@
     host.m_node->Core().OnUpstreamEnd(aRun, outcome);
     return;
   }
-  host.m_node->Core().OnUpstreamData(aRun, FakeToken(aDispatch.m_key, aIndex), 1);
-  const auto wait = std::chrono::duration_cast<Duration>(m_options.m_upstream.m_tokenInterval * host.m_slowdown);
-  m_time.After(wait, host.m_process.Guard([this, aAgent, aRun, aDispatch, aIndex, aRecord] {
-                 NextToken(aAgent, aRun, aDispatch, aIndex + 1, aRecord);
-               }));
+  host.m_node->Core().OnUpstreamData(
+    aRun, FakeToken(aDispatch.m_key, aIndex), 1);
+  const auto wait = std::chrono::duration_cast<Duration>(
+    m_options.m_upstream.m_tokenInterval * host.m_slowdown);
+  m_time.After(
+    wait,
+    host.m_process.Guard([this, aAgent, aRun, aDispatch, aIndex, aRecord] {
+      NextToken(aAgent, aRun, aDispatch, aIndex + 1, aRecord);
+    }));
 }
 
 void
@@ -451,7 +523,9 @@
 BudgetValue
 FakeFleet::Budget(const std::string& aAccount) const
 {
-  const KeyValueEntry entry = const_cast<FakeKeyValue&>(m_keyValue).Store().Get(BudgetKey(AccountId(aAccount)));
+  const KeyValueEntry entry = const_cast<FakeKeyValue&>(m_keyValue)
+                                .Store()
+                                .Get(BudgetKey(AccountId(aAccount)));
   if (entry.m_revision == 0) {
     return {};
   }
@@ -464,9 +538,11 @@
   const BudgetValue budget = Budget(aAccount);
   std::uint64_t billed = budget.m_charged;
   for (const auto& [holder, drawn] : budget.m_draws) {
-    const KeyValueEntry entry = const_cast<FakeKeyValue&>(m_keyValue).Store().Get(LedgerKey(holder));
+    const KeyValueEntry entry =
+      const_cast<FakeKeyValue&>(m_keyValue).Store().Get(LedgerKey(holder));
     if (entry.m_revision != 0) {
-      billed += LedgerValue::FromJson(entry.m_value)->m_charged[AccountId(aAccount)];
+      billed +=
+        LedgerValue::FromJson(entry.m_value)->m_charged[AccountId(aAccount)];
     }
   }
   return billed;
--- a/lib/Testing/FakeKeyValue.cpp
+++ b/lib/Testing/FakeKeyValue.cpp
@@ -27,7 +27,8 @@
 bool
 FakeKeyValue::Chance(double aProbability)
 {
-  return aProbability > 0 && std::uniform_real_distribution<double>(0, 1)(m_random) < aProbability;
+  return aProbability > 0 &&
+         std::uniform_real_distribution<double>(0, 1)(m_random) < aProbability;
 }
 
 void
@@ -51,7 +52,10 @@
   m_time->After(kOneWay + m_faults.m_delay,
                 [this,
                  isLost,
-                 guard = [&aProcess](std::function<void()> aTask) { return aProcess.Guard(std::move(aTask)); },
+                 guard =
+                   [&aProcess](std::function<void()> aTask) {
+                     return aProcess.Guard(std::move(aTask));
+                   },
                  serve = std::move(aServe),
                  unavailable = std::move(aUnavailable)] {
                   std::function<void()> answer = serve();
@@ -65,10 +69,10 @@
 
 void
 FakeKeyValue::Poll(FakeProcess& aProcess,
-                   std::function<bool()> aIsReachable,
-                   std::string aKey,
+                   const std::function<bool()>& aIsReachable,
+                   const std::string& aKey,
                    std::uint64_t aRevision,
-                   KeyValueHooks::EntryHook aDone,
+                   const KeyValueHooks::EntryHook& aDone,
                    Instant aUntil)
 {
   if (m_faults.m_isDown || !aIsReachable()) {
@@ -81,62 +85,90 @@
     m_time->After(kOneWay, aProcess.Guard([aDone, entry] { aDone(entry); }));
     return;
   }
-  m_time->After(kWatchStep, aProcess.Guard([this, &aProcess, aIsReachable, aKey, aRevision, aDone, aUntil] {
-                  Poll(aProcess, aIsReachable, aKey, aRevision, aDone, aUntil);
-                }));
+  m_time->After(
+    kWatchStep,
+    aProcess.Guard(
+      [this, &aProcess, aIsReachable, aKey, aRevision, aDone, aUntil] {
+        Poll(aProcess, aIsReachable, aKey, aRevision, aDone, aUntil);
+      }));
 }
 
 KeyValueHooks
-FakeKeyValue::HooksFor(FakeProcess& aProcess, std::function<bool()> aIsReachable)
+FakeKeyValue::HooksFor(FakeProcess& aProcess,
+                       const std::function<bool()>& aIsReachable)
 {
   KeyValueHooks hooks;
   FakeProcess* process = &aProcess;
-  hooks.m_get = [this, process, aIsReachable](const std::string& aKey, const KeyValueHooks::EntryHook& aDone) {
-    Call(*process,
-         aIsReachable,
-         false,
-         [this, aKey, aDone] {
-           return [aDone, entry = m_store.Get(aKey)] { aDone(entry); };
-         },
-         [aDone] { aDone(NoAnswer()); });
-  };
-  hooks.m_compareAndSwap = [this, process, aIsReachable](const std::string& aKey,
-                                                         std::uint64_t aRevision,
-                                                         const std::optional<std::string>& aValue,
-                                                         const KeyValueHooks::RevisionHook& aDone) {
-    Call(*process,
-         aIsReachable,
-         true,
-         [this, aKey, aRevision, aValue, aDone] {
-           return [aDone, revision = m_store.CompareAndSwap(aKey, aRevision, aValue)] { aDone(revision); };
-         },
-         [aDone] { aDone(NoAnswer()); });
-  };
-  hooks.m_watch = [this, process, aIsReachable](
-                    const std::string& aKey, std::uint64_t aRevision, const KeyValueHooks::EntryHook& aDone) {
-    Poll(*process, aIsReachable, aKey, aRevision, aDone, m_time->Now() + kWatchWait);
-  };
-  hooks.m_list = [this, process, aIsReachable](const std::string& aPrefix, const KeyValueHooks::ListHook& aDone) {
-    Call(*process,
-         aIsReachable,
-         false,
-         [this, aPrefix, aDone] {
-           m_store.Expire(m_time->Now());
-           return [aDone, entries = m_store.List(aPrefix)] { aDone(entries); };
-         },
-         [aDone] { aDone(NoAnswer()); });
+  hooks.m_get =
+    [this, process, aIsReachable](const std::string& aKey,
+                                  const KeyValueHooks::EntryHook& aDone) {
+      Call(
+        *process,
+        aIsReachable,
+        false,
+        [this, aKey, aDone] {
+          return [aDone, entry = m_store.Get(aKey)] { aDone(entry); };
+        },
+        [aDone] { aDone(NoAnswer()); });
+    };
+  hooks.m_compareAndSwap = [this, process, aIsReachable](
+                             const std::string& aKey,
+                             std::uint64_t aRevision,
+                             const std::optional<std::string>& aValue,
+                             const KeyValueHooks::RevisionHook& aDone) {
+    Call(
+      *process,
+      aIsReachable,
+      true,
+      [this, aKey, aRevision, aValue, aDone] {
+        return
+          [aDone, revision = m_store.CompareAndSwap(aKey, aRevision, aValue)] {
+            aDone(revision);
+          };
+      },
+      [aDone] { aDone(NoAnswer()); });
   };
-  hooks.m_keepAlive = [this, process, aIsReachable](const std::string& aKey,
-                                                    const std::string& aValue,
-                                                    Duration aTimeToLive,
-                                                    const KeyValueHooks::RevisionHook& aDone) {
-    Call(*process,
-         aIsReachable,
-         true,
-         [this, aKey, aValue, aTimeToLive, aDone] {
-           return [aDone, revision = m_store.KeepAlive(aKey, aValue, aTimeToLive, m_time->Now())] { aDone(revision); };
-         },
-         [aDone] { aDone(NoAnswer()); });
+  hooks.m_watch =
+    [this, process, aIsReachable](const std::string& aKey,
+                                  std::uint64_t aRevision,
+                                  const KeyValueHooks::EntryHook& aDone) {
+      Poll(*process,
+           aIsReachable,
+           aKey,
+           aRevision,
+           aDone,
+           m_time->Now() + kWatchWait);
+    };
+  hooks.m_list =
+    [this, process, aIsReachable](const std::string& aPrefix,
+                                  const KeyValueHooks::ListHook& aDone) {
+      Call(
+        *process,
+        aIsReachable,
+        false,
+        [this, aPrefix, aDone] {
+          m_store.Expire(m_time->Now());
+          return [aDone, entries = m_store.List(aPrefix)] { aDone(entries); };
+        },
+        [aDone] { aDone(NoAnswer()); });
+    };
+  hooks.m_keepAlive = [this, process, aIsReachable](
+                        const std::string& aKey,
+                        const std::string& aValue,
+                        Duration aTimeToLive,
+                        const KeyValueHooks::RevisionHook& aDone) {
+    Call(
+      *process,
+      aIsReachable,
+      true,
+      [this, aKey, aValue, aTimeToLive, aDone] {
+        return [aDone,
+                revision =
+                  m_store.KeepAlive(aKey, aValue, aTimeToLive, m_time->Now())] {
+          aDone(revision);
+        };
+      },
+      [aDone] { aDone(NoAnswer()); });
   };
   return hooks;
 }
--- a/lib/Testing/FakeNetwork.cpp
+++ b/lib/Testing/FakeNetwork.cpp
@@ -40,7 +40,8 @@
   m_links[link->m_ends[0].m_peer] = { link, 0 };
   m_links[link->m_ends[1].m_peer] = { link, 1 };
   auto node = m_nodes.find(aTo);
-  const bool isThere = node != m_nodes.end() && node->second.m_process->IsAlive();
+  const bool isThere =
+    node != m_nodes.end() && node->second.m_process->IsAlive();
   if (isThere) {
     Transmit(link, 1, [this, link] { Establish(link); });
   }
@@ -79,19 +80,26 @@
   ++m_messages;
   const int other = 1 - end;
   Transmit(link, other, [this, link, other, aMessage] {
-    m_nodes.at(link->m_ends[other].m_name).m_message(link->m_ends[other].m_peer, aMessage);
+    m_nodes.at(link->m_ends[other].m_name)
+      .m_message(link->m_ends[other].m_peer, aMessage);
   });
   return true;
 }
 
 void
-FakeNetwork::Transmit(const LinkPtr& aLink, int aToEnd, std::function<void()> aTask)
+FakeNetwork::Transmit(const LinkPtr& aLink,
+                      int aToEnd,
+                      std::function<void()> aTask)
 {
-  m_time->After(m_oneWay, [this, aLink, aToEnd, task = std::move(aTask)] { Arrive(aLink, aToEnd, task); });
+  m_time->After(m_oneWay, [this, aLink, aToEnd, task = std::move(aTask)] {
+    Arrive(aLink, aToEnd, task);
+  });
 }
 
 void
-FakeNetwork::Arrive(const LinkPtr& aLink, int aToEnd, std::function<void()> aTask)
+FakeNetwork::Arrive(const LinkPtr& aLink,
+                    int aToEnd,
+                    std::function<void()> aTask)
 {
   End& target = aLink->m_ends[aToEnd];
   const End& source = aLink->m_ends[1 - aToEnd];
@@ -105,7 +113,8 @@
   }
   // Checked when it runs: a frozen process may have closed this end by then.
   node->second.m_process->Guard([aLink, aToEnd, task = std::move(aTask)] {
-    const bool isHandshake = aToEnd == 1 && !aLink->m_ends[1].m_isOpen && !aLink->m_isEstablished;
+    const bool isHandshake =
+      aToEnd == 1 && !aLink->m_ends[1].m_isOpen && !aLink->m_isEstablished;
     if (aLink->m_ends[aToEnd].m_isOpen || isHandshake) {
       task();
     }
@@ -138,7 +147,8 @@
   m_links.erase(end.m_peer);
   const NetworkNode& node = m_nodes.at(end.m_name);
   if (node.m_process->IsAlive()) {
-    node.m_process->Guard([closed = node.m_closed, peer = end.m_peer] { closed(peer); })();
+    node.m_process->Guard(
+      [closed = node.m_closed, peer = end.m_peer] { closed(peer); })();
   }
 }
 
--- a/lib/Upstream/EngineClient.cpp
+++ b/lib/Upstream/EngineClient.cpp
@@ -36,7 +36,8 @@
   void Start(RunId aRun, const Dispatch& aDispatch) override
   {
     EngineRun& run = m_runs[aRun];
-    run.m_parser = std::make_unique<SseParser>([this, aRun](const std::string& aData) { OnEvent(aRun, aData); });
+    run.m_parser = std::make_unique<SseParser>(
+      [this, aRun](const std::string& aData) { OnEvent(aRun, aData); });
     run.m_call = m_client->Start(
       MakeCall(aDispatch),
       [this, aRun](const HttpReply& aReply) { OnEnd(aRun, aReply); },
@@ -66,7 +67,8 @@
     body["stream"] = true;
     body["max_tokens"] = aDispatch.m_maxOutput;
     if (!aDispatch.m_resumeText.empty()) {
-      body["resume"] = { { "text", aDispatch.m_resumeText }, { "tokens", aDispatch.m_resumeTokens } };
+      body["resume"] = { { "text", aDispatch.m_resumeText },
+                         { "tokens", aDispatch.m_resumeTokens } };
     }
     HttpCall call;
     call.m_method = "POST";
@@ -87,21 +89,26 @@
       return;
     }
     const json event = json::parse(aData, nullptr, false);
-    if (event.is_discarded() || !event.contains("choices") || event["choices"].empty()) {
+    if (event.is_discarded() || !event.contains("choices") ||
+        event["choices"].empty()) {
       return;
     }
     const json& choice = event["choices"][0];
     std::uint64_t fresh = 0;
     if (event.contains("usage") && event["usage"].is_object()) {
-      const auto completed = event["usage"].value("completion_tokens", std::uint64_t{ 0 });
+      const auto completed =
+        event["usage"].value("completion_tokens", std::uint64_t{ 0 });
       fresh = completed - std::min(completed, run.m_outcome.m_completionTokens);
       run.m_outcome.m_completionTokens = completed;
-      run.m_outcome.m_promptTokens = event["usage"].value("prompt_tokens", run.m_outcome.m_promptTokens);
+      run.m_outcome.m_promptTokens =
+        event["usage"].value("prompt_tokens", run.m_outcome.m_promptTokens);
     }
-    if (choice.contains("finish_reason") && choice["finish_reason"].is_string()) {
+    if (choice.contains("finish_reason") &&
+        choice["finish_reason"].is_string()) {
       run.m_outcome.m_finishReason = choice["finish_reason"].get<std::string>();
     }
-    const std::string text = choice.value("delta", json::object()).value("content", std::string());
+    const std::string text =
+      choice.value("delta", json::object()).value("content", std::string());
     if (!text.empty()) {
       m_hooks.m_data(aRun, text, fresh);
     }
@@ -113,9 +120,11 @@
     EngineRun run = std::move(found->second);
     m_runs.erase(found);
     UpstreamOutcome outcome = run.m_outcome;
-    const bool isWhole = aReply.m_status == 200 && run.m_isWhole && !outcome.m_finishReason.empty();
+    const bool isWhole = aReply.m_status == 200 && run.m_isWhole &&
+                         !outcome.m_finishReason.empty();
     if (!isWhole) {
-      outcome.m_code = run.m_isCancelled ? ResultCode::kCancelled : ResultCode::kUpstreamFailed;
+      outcome.m_code = run.m_isCancelled ? ResultCode::kCancelled
+                                         : ResultCode::kUpstreamFailed;
     }
     if (!isWhole && aReply.m_neverSent) {
       outcome.m_ran = Ran::kNo;
@@ -132,9 +141,12 @@
 } // namespace
 
 std::unique_ptr<UpstreamClient>
-MakeEngineClient(HttpClient& aClient, std::string aBaseUrl, UpstreamHooks aHooks)
+MakeEngineClient(HttpClient& aClient,
+                 std::string aBaseUrl,
+                 UpstreamHooks aHooks)
 {
-  return std::make_unique<EngineClient>(aClient, std::move(aBaseUrl), std::move(aHooks));
+  return std::make_unique<EngineClient>(
+    aClient, std::move(aBaseUrl), std::move(aHooks));
 }
 
 } // namespace bergamotpaddle
--- a/lib/Upstream/ServiceClient.cpp
+++ b/lib/Upstream/ServiceClient.cpp
@@ -28,13 +28,15 @@
     call.m_totalTimeout = kCallTimeout;
     call.m_ownConnection = !aDispatch.m_repeatable;
     call.m_headers = { { "Content-Type",
-                         aDispatch.m_contentType.empty() ? "application/json" : aDispatch.m_contentType },
+                         aDispatch.m_contentType.empty()
+                           ? "application/json"
+                           : aDispatch.m_contentType },
                        { "Idempotency-Key", aDispatch.m_key.Str() },
                        { "X-Account", aDispatch.m_account.Str() } };
     m_calls[aRun] = m_client->Start(
-      std::move(call), [this, aRun, isRepeatable = aDispatch.m_repeatable](const HttpReply& aReply) {
-        OnEnd(aRun, isRepeatable, aReply);
-      });
+      std::move(call),
+      [this, aRun, isRepeatable = aDispatch.m_repeatable](
+        const HttpReply& aReply) { OnEnd(aRun, isRepeatable, aReply); });
   }
 
   void Cancel(RunId aRun) override
@@ -59,7 +61,9 @@
     }
     // Without an answer that the service stands by, only a connection that was
     // never made proves anything.
-    outcome.m_code = aIsRepeatable || aReply.m_neverSent ? ResultCode::kUpstreamFailed : ResultCode::kOutcomeUnknown;
+    outcome.m_code = aIsRepeatable || aReply.m_neverSent
+                       ? ResultCode::kUpstreamFailed
+                       : ResultCode::kOutcomeUnknown;
     outcome.m_ran = aReply.m_neverSent ? Ran::kNo : Ran::kUnknown;
     m_hooks.m_end(aRun, outcome);
   }
@@ -73,9 +77,12 @@
 } // namespace
 
 std::unique_ptr<UpstreamClient>
-MakeServiceClient(HttpClient& aClient, std::string aBaseUrl, UpstreamHooks aHooks)
+MakeServiceClient(HttpClient& aClient,
+                  std::string aBaseUrl,
+                  UpstreamHooks aHooks)
 {
-  return std::make_unique<ServiceClient>(aClient, std::move(aBaseUrl), std::move(aHooks));
+  return std::make_unique<ServiceClient>(
+    aClient, std::move(aBaseUrl), std::move(aHooks));
 }
 
 } // namespace bergamotpaddle
--- a/lib/Upstream/SseParser.cpp
+++ b/lib/Upstream/SseParser.cpp
@@ -19,7 +19,8 @@
 {
   m_partial += aBytes;
   std::size_t begin = 0;
-  for (std::size_t end = m_partial.find('\n'); end != std::string::npos; end = m_partial.find('\n', begin)) {
+  for (std::size_t end = m_partial.find('\n'); end != std::string::npos;
+       end = m_partial.find('\n', begin)) {
     TakeLine(m_partial.substr(begin, end - begin));
     begin = end + 1;
   }
--- a/lib/Wire/Messages.cpp
+++ b/lib/Wire/Messages.cpp
@@ -11,7 +11,9 @@
 /// Unpacks the alternative with number \p Index if that is \p aIndex.
 template<std::size_t Index = 0>
 bool
-UnpackAlternative(std::size_t aIndex, const msgpack::object& aObject, Message& aMessage)
+UnpackAlternative(std::size_t aIndex,
+                  const msgpack::object& aObject,
+                  Message& aMessage)
 {
   if constexpr (Index == std::variant_size_v<Message>) {
     return false;
@@ -35,7 +37,8 @@
   packer.pack_array(kEnvelopeFields);
   packer.pack(aEnvelope.m_logicalTime);
   packer.pack(static_cast<std::uint32_t>(aEnvelope.m_message.index()));
-  std::visit([&](const auto& aMessage) { packer.pack(aMessage); }, aEnvelope.m_message);
+  std::visit([&](const auto& aMessage) { packer.pack(aMessage); },
+             aEnvelope.m_message);
   return { buffer.data(), buffer.size() };
 }
 
@@ -43,20 +46,27 @@
 Decode(std::string_view aFrame)
 {
   try {
-    msgpack::object_handle handle = msgpack::unpack(aFrame.data(), aFrame.size());
+    msgpack::object_handle handle =
+      msgpack::unpack(aFrame.data(), aFrame.size());
     const msgpack::object& root = handle.get();
-    if (root.type != msgpack::type::ARRAY || root.via.array.size != kEnvelopeFields) {
-      return absl::InvalidArgumentError("frame is not an envelope; check that both ends run the same version");
+    if (root.type != msgpack::type::ARRAY ||
+        root.via.array.size != kEnvelopeFields) {
+      return absl::InvalidArgumentError(
+        "frame is not an envelope; check that both ends run the same version");
     }
     Envelope envelope;
     root.via.array.ptr[0].convert(envelope.m_logicalTime);
     const auto index = root.via.array.ptr[1].as<std::uint32_t>();
     if (!UnpackAlternative(index, root.via.array.ptr[2], envelope.m_message)) {
-      return absl::InvalidArgumentError(absl::StrCat("message number ", index, " is unknown; check that both ends run the same version"));
+      return absl::InvalidArgumentError(
+        absl::StrCat("message number ",
+                     index,
+                     " is unknown; check that both ends run the same version"));
     }
     return envelope;
   } catch (const std::exception& error) {
-    return absl::InvalidArgumentError(absl::StrCat("frame does not decode: ", error.what()));
+    return absl::InvalidArgumentError(
+      absl::StrCat("frame does not decode: ", error.what()));
   }
 }
 
--- a/tools/bergamotpaddle-standin/Main.cpp
+++ b/tools/bergamotpaddle-standin/Main.cpp
@@ -12,7 +12,9 @@
 DEFINE_int32(slots, 8, "engine: runs at once");
 DEFINE_int32(token_ms, 10, "engine: milliseconds between tokens");
 DEFINE_int32(first_token_ms, 20, "engine: milliseconds until the first token");
-DEFINE_bool(check, false, "check the flags and exit: 0 if they are right, 2 if not");
+DEFINE_bool(check,
+            false,
+            "check the flags and exit: 0 if they are right, 2 if not");
 
 namespace {
 
@@ -47,7 +49,8 @@
 int
 main(int aArgumentCount, char** aArguments)
 {
-  gflags::SetUsageMessage("runs a stand-in\n  bergamotpaddle-standin --kind kv|engine|service|hosts --port N");
+  gflags::SetUsageMessage("runs a stand-in\n  bergamotpaddle-standin --kind "
+                          "kv|engine|service|hosts --port N");
   gflags::SetVersionString("0.1.0");
   gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
   sigset_t signals;
@@ -58,7 +61,8 @@
   EventLoop loop;
   const std::unique_ptr<StandInServer> behaviour = MakeServer(loop);
   if (behaviour == nullptr) {
-    std::cerr << "--kind: \"" << FLAGS_kind << "\" is unknown; allowed: kv, engine, service, hosts\n";
+    std::cerr << "--kind: \"" << FLAGS_kind
+              << "\" is unknown; allowed: kv, engine, service, hosts\n";
     return kExitWrongSettings;
   }
   if (FLAGS_check) {
@@ -67,11 +71,14 @@
   HttpServerOptions options;
   options.m_port = static_cast<std::uint16_t>(FLAGS_port);
   options.m_maxRequestBytes = 4U << 20U;
-  HttpServer server(options, [&](HttpRequest aRequest, HttpResponderPtr aResponder) {
-    loop.Post([&behaviour, request = std::move(aRequest), responder = std::move(aResponder)] {
-      behaviour->Handle(request, responder);
-    });
-  });
+  HttpServer server(options,
+                    [&](HttpRequest aRequest, HttpResponderPtr aResponder) {
+                      loop.Post([&behaviour,
+                                 request = std::move(aRequest),
+                                 responder = std::move(aResponder)] {
+                        behaviour->Handle(request, responder);
+                      });
+                    });
   const absl::Status started = server.Start();
   if (!started.ok()) {
     std::cerr << started.message() << "\n";
--- a/tools/bergamotpaddlectl/Main.cpp
+++ b/tools/bergamotpaddlectl/Main.cpp
@@ -6,12 +6,18 @@
 #include <gflags/gflags.h>
 #include <iostream>
 
-DEFINE_string(settings, "", "JSON file with kv, secret and processes (base URLs); see docs/CONFIGURATION.md");
+DEFINE_string(settings,
+              "",
+              "JSON file with kv, secret and processes (base URLs); see "
+              "docs/CONFIGURATION.md");
 DEFINE_string(output, "table", "table or json");
 DEFINE_string(base, "", "config: path of the base file");
 DEFINE_string(overlay, "", "config: path of the site's overlay");
 DEFINE_string(author, "", "who makes the change; the user's name if empty");
-DEFINE_string(change_id, "", "names the change; give the same one to ask again after a lost answer");
+DEFINE_string(
+  change_id,
+  "",
+  "names the change; give the same one to ask again after a lost answer");
 DEFINE_string(comment, "", "why the change is made");
 DEFINE_string(id, "", "budget top-up: names the top-up, which is booked once");
 DEFINE_bool(wait, false, "wait until the change is in force everywhere");
@@ -20,20 +26,24 @@
 DEFINE_string(account, "", "timeline: events of this client account");
 DEFINE_string(upstream, "", "timeline: events of this upstream");
 DEFINE_string(since, "", "timeline: events from this logical time on");
-DEFINE_bool(check, false, "check the settings and exit: 0 if they are right, 2 if not");
+DEFINE_bool(check,
+            false,
+            "check the settings and exit: 0 if they are right, 2 if not");
 
 namespace {
 
 using namespace bergamotpaddle;
 
-constexpr const char* kUsage = "operates a bergamotpaddle fleet\n"
-                               "  config validate|diff|apply|status|history|rollback VERSION\n"
-                               "  account list|show NAME\n"
-                               "  budget show ACCOUNT|top-up ACCOUNT TOKENS --id ID\n"
-                               "  pool drain|restore NAME\n"
-                               "  upstream drain|restore NAME\n"
-                               "  status\n"
-                               "  timeline [--request KEY] [--account NAME] [--upstream NAME] [--since TIME]";
+constexpr const char* kUsage =
+  "operates a bergamotpaddle fleet\n"
+  "  config validate|diff|apply|status|history|rollback VERSION\n"
+  "  account list|show NAME\n"
+  "  budget show ACCOUNT|top-up ACCOUNT TOKENS --id ID\n"
+  "  pool drain|restore NAME\n"
+  "  upstream drain|restore NAME\n"
+  "  status\n"
+  "  timeline [--request KEY] [--account NAME] [--upstream NAME] [--since "
+  "TIME]";
 
 CommandOptions
 OptionsFromFlags()
@@ -70,15 +80,19 @@
     OperatorSettings settings;
     settings.m_kv = file->at("kv").get<std::string>();
     settings.m_secret = file->at("secret").get<std::string>();
-    settings.m_processes = file->at("processes").get<std::vector<std::string>>();
+    settings.m_processes =
+      file->at("processes").get<std::vector<std::string>>();
     return settings;
   } catch (const std::exception& error) {
-    return absl::InvalidArgumentError(FLAGS_settings + ": needs kv, secret and processes: " + error.what());
+    return absl::InvalidArgumentError(
+      FLAGS_settings + ": needs kv, secret and processes: " + error.what());
   }
 }
 
 ExitCode
-Dispatch(Session& aSession, const std::vector<std::string>& aWords, const CommandOptions& aOptions)
+Dispatch(Session& aSession,
+         const std::vector<std::string>& aWords,
+         const CommandOptions& aOptions)
 {
   const std::string& subject = aWords.front();
   if (subject == "config") {
@@ -99,7 +113,8 @@
   if (subject == "timeline") {
     return RunTimelineCommand(aSession, aOptions);
   }
-  std::cerr << "bergamotpaddlectl: unknown command " << subject << "\n" << kUsage << "\n";
+  std::cerr << "bergamotpaddlectl: unknown command " << subject << "\n"
+            << kUsage << "\n";
   return ExitCode::kUsage;
 }
 
@@ -111,13 +126,15 @@
   gflags::SetUsageMessage(kUsage);
   gflags::SetVersionString("0.1.0");
   gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
-  const std::vector<std::string> words(aArguments + 1, aArguments + aArgumentCount);
+  const std::vector<std::string> words(aArguments + 1,
+                                       aArguments + aArgumentCount);
   if (FLAGS_output != "table" && FLAGS_output != "json") {
     std::cerr << "--output: allowed: table, json\n";
     return static_cast<int>(ExitCode::kUsage);
   }
   // Validation works without a fleet.
-  const bool needsFleet = !(words.size() > 1 && words[0] == "config" && words[1] == "validate");
+  const bool needsFleet =
+    !(words.size() > 1 && words[0] == "config" && words[1] == "validate");
   absl::StatusOr<OperatorSettings> settings = OperatorSettings{};
   if (needsFleet || FLAGS_check) {
     settings = LoadSettings();
--- a/tools/bergamotpaddled/Main.cpp
+++ b/tools/bergamotpaddled/Main.cpp
@@ -6,8 +6,13 @@
 #include <gflags/gflags.h>
 #include <iostream>
 
-DEFINE_string(settings, "", "path of the process's settings, a JSON file (docs/CONFIGURATION.md)");
-DEFINE_bool(check, false, "check the settings and exit: 0 if they are right, 2 if not");
+DEFINE_string(
+  settings,
+  "",
+  "path of the process's settings, a JSON file (docs/CONFIGURATION.md)");
+DEFINE_bool(check,
+            false,
+            "check the settings and exit: 0 if they are right, 2 if not");
 
 namespace {
 
@@ -18,10 +23,12 @@
 int
 main(int aArgumentCount, char** aArguments)
 {
-  gflags::SetUsageMessage("runs a router or an agent of the bergamotpaddle fleet\n  bergamotpaddled --settings FILE");
+  gflags::SetUsageMessage("runs a router or an agent of the bergamotpaddle "
+                          "fleet\n  bergamotpaddled --settings FILE");
   gflags::SetVersionString("0.1.0");
   gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
-  const bergamotpaddle::LoadedSettings loaded = bergamotpaddle::LoadProcessSettings(FLAGS_settings);
+  const bergamotpaddle::LoadedSettings loaded =
+    bergamotpaddle::LoadProcessSettings(FLAGS_settings);
   for (const bergamotpaddle::Finding& finding : loaded.m_findings) {
     std::cerr << finding.Str() << "\n";
   }
@@ -32,6 +39,8 @@
     std::cout << "settings are right\n";
     return 0;
   }
-  const bool isRouter = loaded.m_settings.m_role == bergamotpaddle::ProcessRole::kRouter;
-  return isRouter ? bergamotpaddle::RunRouter(loaded.m_settings) : bergamotpaddle::RunAgent(loaded.m_settings);
+  const bool isRouter =
+    loaded.m_settings.m_role == bergamotpaddle::ProcessRole::kRouter;
+  return isRouter ? bergamotpaddle::RunRouter(loaded.m_settings)
+                  : bergamotpaddle::RunAgent(loaded.m_settings);
 }
--- /dev/null
+++ b/unittests/Fleet/KeptCasesTest.cpp
@@ -0,0 +1,105 @@
+/// \file
+/// Sequences that once broke a promise, found by fuzzing, kept as they were
+/// shrunk.
+#include "Oracle.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotpaddle;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A settled fleet of the size that the fuzzing uses.
+class KeptFleet
+{
+public:
+  KeptFleet()
+    : m_fleet(MakeOptions())
+    , m_oracle(m_fleet)
+  {
+    Pass(2000);
+  }
+
+  void Pass(int aMilliseconds)
+  {
+    m_fleet.Time().Advance(milliseconds(aMilliseconds));
+  }
+  void SetDown(bool aIsDown) { m_fleet.KeyValue().Faults().m_isDown = aIsDown; }
+
+  /// Heals everything and returns all findings.
+  std::vector<std::string> Judge()
+  {
+    m_fleet.HealAll();
+    Pass(200'000);
+    std::vector<std::string> findings =
+      m_oracle.CheckAlways({ { "big", 100000 }, { "small", 300 } });
+    const std::vector<std::string> atRest = m_oracle.CheckAtRest();
+    findings.insert(findings.end(), atRest.begin(), atRest.end());
+    return findings;
+  }
+
+  static FakeFleetOptions MakeOptions()
+  {
+    FakeFleetOptions options;
+    options.m_budgets = { { "big", 100000 }, { "small", 300 } };
+    return options;
+  }
+
+  FakeFleet m_fleet;
+  Oracle m_oracle;
+};
+
+} // namespace
+
+TEST_CASE("sequences that once broke a promise", "[kept]")
+{
+  KeptFleet kept;
+
+  SECTION("two calls with one key at once: one run, one bill")
+  {
+    kept.m_oracle.Ask(1, "small", true, true, true, 1);
+    kept.m_oracle.AskAgain(0, 1);
+    CHECK(kept.Judge().empty());
+    CHECK(kept.m_fleet.Runs().size() == 1);
+  }
+
+  SECTION("a frozen agent's charge comes while the second attempt waits for "
+          "credit: one bill")
+  {
+    kept.m_oracle.Ask(0, "small", true, true, false, 1);
+    kept.Pass(2000);
+    kept.SetDown(true);
+    kept.m_oracle.Ask(0, "small", true, true, false, 1);
+    kept.m_fleet.AgentProcess(0).Freeze();
+    kept.Pass(2700);
+    CHECK(kept.Judge().empty());
+  }
+
+  SECTION("the place of a finished request is cut off when its caller asks "
+          "again: one bill")
+  {
+    kept.m_oracle.Ask(0, "small", true, true, true, 1);
+    kept.Pass(200);
+    for (int agent = 0; agent < 3; ++agent) {
+      const std::string name = kept.m_fleet.AgentName(agent);
+      if (name == kept.m_fleet.Runs().front().m_upstream) {
+        kept.m_fleet.Network().Cut("router-0", name);
+      }
+    }
+    kept.m_oracle.AskAgain(0, 0);
+    kept.Pass(15000);
+    CHECK(kept.Judge().empty());
+  }
+
+  SECTION("a call is lost at a frozen agent and cannot be journaled elsewhere: "
+          "not said to be not run")
+  {
+    kept.m_fleet.AgentProcess(3).Freeze();
+    kept.m_oracle.Ask(1, "small", false, false, true, 1);
+    kept.Pass(700);
+    kept.SetDown(true);
+    kept.Pass(6000);
+    CHECK(kept.Judge().empty());
+  }
+}
--- a/unittests/Fleet/Oracle.cpp
+++ b/unittests/Fleet/Oracle.cpp
@@ -55,23 +55,30 @@
   CallerRequest& asked = m_requests[aRequest];
   ++asked.m_calls;
   asked.m_lastSaidNotRun = false;
-  NewRequest request = asked.m_isChat ? m_fleet->MakeChat(asked.m_account, asked.m_key, asked.m_tokens)
-                                      : m_fleet->MakeCall(asked.m_account, asked.m_key, asked.m_isRepeatable);
+  NewRequest request =
+    asked.m_isChat
+      ? m_fleet->MakeChat(asked.m_account, asked.m_key, asked.m_tokens)
+      : m_fleet->MakeCall(asked.m_account, asked.m_key, asked.m_isRepeatable);
   auto text = std::make_shared<std::string>();
   const int call = asked.m_calls;
-  request.m_caller.m_data = [text](const std::string& aBytes) { *text += aBytes; };
+  request.m_caller.m_data = [text](const std::string& aBytes) {
+    *text += aBytes;
+  };
   request.m_caller.m_end = [this, aRequest, text](const AnswerEnd&) {
     CallerRequest& answered = m_requests[aRequest];
     ++answered.m_answers;
     if (*text != ExpectedAnswer(answered)) {
-      m_wrongAnswers.push_back("request " + answered.m_key + " was answered \"" + *text + "\"");
+      m_wrongAnswers.push_back("request " + answered.m_key +
+                               " was answered \"" + *text + "\"");
     }
   };
-  request.m_caller.m_fail = [this, aRequest, call](const RequestFailure& aFailure) {
-    CallerRequest& failed = m_requests[aRequest];
-    failed.m_failures.push_back(aFailure);
-    failed.m_lastSaidNotRun = aFailure.m_ran == Ran::kNo && call == failed.m_calls && call == 1;
-  };
+  request.m_caller.m_fail =
+    [this, aRequest, call](const RequestFailure& aFailure) {
+      CallerRequest& failed = m_requests[aRequest];
+      failed.m_failures.push_back(aFailure);
+      failed.m_lastSaidNotRun =
+        aFailure.m_ran == Ran::kNo && call == failed.m_calls && call == 1;
+    };
   m_fleet->Begin(aRouter, std::move(request));
 }
 
@@ -79,9 +86,11 @@
 Oracle::RunsOf(const CallerRequest& aRequest) const
 {
   const auto& runs = m_fleet->Runs();
-  return static_cast<std::size_t>(std::count_if(runs.begin(), runs.end(), [&](const RunRecord& aRun) {
-    return aRun.m_account.Str() == aRequest.m_account && aRun.m_key.Str() == aRequest.m_key;
-  }));
+  return static_cast<std::size_t>(
+    std::count_if(runs.begin(), runs.end(), [&](const RunRecord& aRun) {
+      return aRun.m_account.Str() == aRequest.m_account &&
+             aRun.m_key.Str() == aRequest.m_key;
+    }));
 }
 
 std::vector<std::string>
@@ -90,11 +99,14 @@
   std::vector<std::string> findings = m_wrongAnswers;
   for (const CallerRequest& request : m_requests) {
     if (!request.m_isRepeatable && RunsOf(request) > 1) {
-      findings.push_back("call " + request.m_key + " that may not repeat ran more than once");
+      findings.push_back("call " + request.m_key +
+                         " that may not repeat ran more than once");
     }
     // Only a request asked once: another call may have started it meanwhile.
-    if (request.m_lastSaidNotRun && request.m_calls == 1 && RunsOf(request) > 0) {
-      findings.push_back("request " + request.m_key + " was refused as not run, but ran");
+    if (request.m_lastSaidNotRun && request.m_calls == 1 &&
+        RunsOf(request) > 0) {
+      findings.push_back("request " + request.m_key +
+                         " was refused as not run, but ran");
     }
   }
   for (const auto& [account, prepaid] : aPrepaid) {
@@ -105,10 +117,13 @@
       }
     }
     if (spent > prepaid) {
-      findings.push_back("answers of " + account + " cost " + std::to_string(spent) + " of " + std::to_string(prepaid));
+      findings.push_back("answers of " + account + " cost " +
+                         std::to_string(spent) + " of " +
+                         std::to_string(prepaid));
     }
     if (m_fleet->Billed(account) > prepaid) {
-      findings.push_back("account " + account + " was billed beyond its budget");
+      findings.push_back("account " + account +
+                         " was billed beyond its budget");
     }
   }
   return findings;
@@ -122,7 +137,8 @@
   for (const CallerRequest& request : m_requests) {
     std::uint64_t cost = 0;
     for (const RunRecord& run : m_fleet->Runs()) {
-      const bool isOfRequest = run.m_account.Str() == request.m_account && run.m_key.Str() == request.m_key;
+      const bool isOfRequest = run.m_account.Str() == request.m_account &&
+                               run.m_key.Str() == request.m_key;
       if (isOfRequest && run.m_isComplete) {
         cost = std::max(cost, run.m_tokens);
       }
@@ -132,7 +148,8 @@
   for (const auto& [account, tokens] : owed) {
     const std::uint64_t billed = m_fleet->Billed(account);
     if (billed != tokens) {
-      findings.push_back("account " + account + " was billed " + std::to_string(billed) + " for work worth " +
+      findings.push_back("account " + account + " was billed " +
+                         std::to_string(billed) + " for work worth " +
                          std::to_string(tokens));
     }
   }
--- a/unittests/Fleet/Oracle.h
+++ b/unittests/Fleet/Oracle.h
@@ -20,7 +20,7 @@
   bool m_isRepeatable = true;
   std::uint64_t m_tokens = 0;
   int m_calls = 0;
-  int m_answers = 0;         ///< Whole answers received.
+  int m_answers = 0; ///< Whole answers received.
   bool m_lastSaidNotRun = false;
   std::vector<RequestFailure> m_failures;
 };
@@ -32,7 +32,12 @@
   explicit Oracle(FakeFleet& aFleet);
 
   /// Makes a new request and its first call.
-  void Ask(int aRouter, const std::string& aAccount, bool aIsChat, bool aIsRepeatable, bool aIsKeyed, std::uint64_t aTokens);
+  void Ask(int aRouter,
+           const std::string& aAccount,
+           bool aIsChat,
+           bool aIsRepeatable,
+           bool aIsKeyed,
+           std::uint64_t aTokens);
   /// Calls again with the key of an earlier request that has one.
   void AskAgain(std::size_t aRequest, int aRouter);
 
@@ -40,7 +45,8 @@
   const std::vector<CallerRequest>& Requests() const { return m_requests; }
 
   /// Findings that must never be there, at any moment.
-  std::vector<std::string> CheckAlways(const std::map<std::string, std::uint64_t>& aPrepaid) const;
+  std::vector<std::string> CheckAlways(
+    const std::map<std::string, std::uint64_t>& aPrepaid) const;
   /// Findings once all faults are over and the fleet has come to rest.
   std::vector<std::string> CheckAtRest() const;
 
--- a/unittests/Net/FrameLinkTest.cpp
+++ b/unittests/Net/FrameLinkTest.cpp
@@ -1,8 +1,8 @@
 /// \file
 /// Links between processes: frames arrive whole and in order, strangers do not
 /// get in.
-#include "bergamotpaddle/Kernel/EventLoop.h"
 #include "bergamotpaddle/Net/FrameLink.h"
+#include "bergamotpaddle/Kernel/EventLoop.h"
 
 #include <catch2/catch.hpp>
 #include <thread>
@@ -31,7 +31,9 @@
 TEST_CASE("links carry frames between processes that share the secret", "[net]")
 {
   EventLoop loop;
-  auto executor = [&](std::function<void()> aTask) { loop.Post(std::move(aTask)); };
+  auto executor = [&](std::function<void()> aTask) {
+    loop.Post(std::move(aTask));
+  };
   std::vector<std::string> atServer;
   int serverOpened = 0;
   int clientClosed = 0;
@@ -39,7 +41,9 @@
 
   LinkHooks serverHooks;
   serverHooks.m_opened = [&](LinkId) { ++serverOpened; };
-  serverHooks.m_received = [&](LinkId, std::string aFrame) { atServer.push_back(std::move(aFrame)); };
+  serverHooks.m_received = [&](LinkId, std::string aFrame) {
+    atServer.push_back(std::move(aFrame));
+  };
   serverHooks.m_closed = [](LinkId) {};
   LinkHub server("secret", executor, serverHooks);
   const std::string address = "127.0.0.1:39471";
--- a/unittests/Net/HttpServerTest.cpp
+++ b/unittests/Net/HttpServerTest.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// The HTTP shells against each other over loopback.
-#include "bergamotpaddle/Net/HttpClient.h"
 #include "bergamotpaddle/Net/HttpServer.h"
+#include "bergamotpaddle/Net/HttpClient.h"
 
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -19,7 +19,9 @@
 CallAndWait(HttpClient& aClient, HttpCall aCall)
 {
   std::promise<HttpReply> promise;
-  aClient.Start(std::move(aCall), [&](HttpReply aReply) { promise.set_value(std::move(aReply)); });
+  aClient.Start(std::move(aCall), [&](HttpReply aReply) {
+    promise.set_value(std::move(aReply));
+  });
   return promise.get_future().get();
 }
 
@@ -42,13 +44,16 @@
 {
   HttpServerOptions options;
   options.m_maxRequestBytes = 64 * 1024;
-  HttpServer server(options, [](HttpRequest aRequest, HttpResponderPtr aResponder) {
-    if (aRequest.m_path == "/stream") {
-      StreamFromAnotherThread(std::move(aResponder));
-      return;
-    }
-    aResponder->SendJson(200, aRequest.m_method + aRequest.Query("q") + aRequest.Header("x-name") + aRequest.m_body);
-  });
+  HttpServer server(
+    options, [](HttpRequest aRequest, HttpResponderPtr aResponder) {
+      if (aRequest.m_path == "/stream") {
+        StreamFromAnotherThread(std::move(aResponder));
+        return;
+      }
+      aResponder->SendJson(200,
+                           aRequest.m_method + aRequest.Query("q") +
+                             aRequest.Header("x-name") + aRequest.m_body);
+    });
   REQUIRE(server.Start().ok());
   const std::string base = "http://127.0.0.1:" + std::to_string(server.Port());
   HttpClient client([](std::function<void()> aTask) { aTask(); });
@@ -95,6 +100,7 @@
     call.m_url = base + "/stream";
     HttpReply reply = CallAndWait(client, call);
     CHECK(reply.m_status == 200);
-    CHECK(reply.m_body.size() == kPieces * std::string("data: piece\n\n").size());
+    CHECK(reply.m_body.size() ==
+          kPieces * std::string("data: piece\n\n").size());
   }
 }
