--- a/include/bergamotpaddle/Router/Balancer.h
+++ b/include/bergamotpaddle/Router/Balancer.h
@@ -24,6 +24,12 @@
   double m_slowFactor = 3.0;   ///< Times the pool's middle that counts as slow.
   double m_probeChance = 0.02; ///< That a slow upstream is chosen all the same.
   double m_smoothing = 0.2;    ///< Of the moving averages.
+  int m_failuresBeforeEject = 3; ///< In a row.
+  Duration m_firstEject =
+    std::chrono::seconds(4); ///< Doubled each time, up to m_longestEject.
+  Duration m_longestEject = std::chrono::seconds(60);
+  /// Takes the place of the load if set; lower is better.
+  std::function<double(const AgentView&, Instant)> m_score;
   Duration m_slowStart =
     std::chrono::seconds(5); ///< After a return, until full load.
 };
@@ -45,6 +51,10 @@
   void NoteFirstByte(AgentView& aAgent, Duration aTime) const;
   void NoteGap(AgentView& aAgent, Duration aTime) const;
 
+  /// An attempt at \p aAgent ended; failures in a row take it out for a while,
+  /// longer each time.
+  void NoteOutcome(AgentView& aAgent, bool aIsGood, Instant aNow) const;
+
   /// Whether \p aAgent is slow beside the others of \p aPool.
   bool IsSlow(const AgentDirectory& aDirectory,
               const PoolConfig& aPool,
--- a/include/bergamotpaddle/Testing/FakeFleet.h
+++ b/include/bergamotpaddle/Testing/FakeFleet.h
@@ -43,6 +43,8 @@
   AdmissionOptions m_admission;
   FakeUpstreamOptions m_upstream;
   std::uint64_t m_seed = 1;
+  BalancerOptions m_balancer;
+  std::map<std::string, std::uint32_t> m_weights; ///< Of accounts; 1 if absent.
   std::vector<std::string> m_zones = { "z1", "z2" };
 };
 
@@ -94,6 +96,8 @@
   /// Whether a node reaches the key-value service.
   void SetReachesKeyValue(const std::string& aName, bool aReaches);
   void SetSlowdown(int aAgent, double aFactor);
+  /// Every run at this upstream fails after its first token.
+  void SetFailing(int aAgent, bool aFails);
 
   /// Writes the next configuration, with \p aDrained upstreams drained.
   std::uint64_t ApplyConfig(const std::set<std::string>& aDrained);
--- a/lib/Agent/Admission.cpp
+++ b/lib/Agent/Admission.cpp
@@ -26,7 +26,9 @@
   const double due = start + static_cast<double>(aRequest.m_cost) /
                                std::max(1U, aRequest.m_weight);
   m_lastDue[aRequest.m_account] = due;
-  Queued queued{ due, m_nextOrder++, aRequest };
+  Queued queued{ m_options.m_firstInFirstOut ? 0 : due,
+                 m_nextOrder++,
+                 aRequest };
   QueueOf(aRequest).insert(queued);
   m_waiting.emplace(aRequest.m_run, std::move(queued));
   return true;
--- a/lib/Router/Balancer.cpp
+++ b/lib/Router/Balancer.cpp
@@ -44,6 +44,27 @@
   Smooth(aAgent.m_gapMicros, aTime, m_options.m_smoothing);
 }
 
+void
+Balancer::NoteOutcome(AgentView& aAgent, bool aIsGood, Instant aNow) const
+{
+  if (aIsGood) {
+    aAgent.m_failuresInARow = 0;
+    aAgent.m_ejections = 0;
+    return;
+  }
+  // After an ejection one failure is enough: what comes back bad goes at once.
+  const int allowed =
+    aAgent.m_ejections > 0 ? 1 : m_options.m_failuresBeforeEject;
+  if (++aAgent.m_failuresInARow < allowed) {
+    return;
+  }
+  aAgent.m_failuresInARow = 0;
+  const Duration wait = m_options.m_firstEject *
+                        (std::int64_t{ 1 } << std::min(aAgent.m_ejections, 10));
+  aAgent.m_ejectedUntil = aNow + std::min(wait, m_options.m_longestEject);
+  ++aAgent.m_ejections;
+}
+
 std::set<UpstreamId>
 Balancer::SlowOnes(const AgentDirectory& aDirectory,
                    const std::vector<UpstreamId>& aLive) const
@@ -94,6 +115,9 @@
 double
 Balancer::Load(const AgentView& aAgent, Instant aNow) const
 {
+  if (m_options.m_score) {
+    return m_options.m_score(aAgent, aNow);
+  }
   const double reported =
     aAgent.m_heartbeat.m_running + aAgent.m_heartbeat.m_waiting;
   const double own = aAgent.m_outstanding;
@@ -103,8 +127,8 @@
   }
   const Duration age = aNow - aAgent.m_upSince;
   if (age < m_options.m_slowStart) {
-    const double share = std::max(
-      0.1, std::chrono::duration<double>(age) / m_options.m_slowStart);
+    const double share =
+      std::max(0.1, std::chrono::duration<double>(age) / m_options.m_slowStart);
     load = (load + 1) / share;
   }
   return load;
@@ -117,13 +141,20 @@
                Instant aNow)
 {
   std::vector<UpstreamId> live;
+  std::vector<UpstreamId> ejected;
   for (const UpstreamId& id : aPool.m_upstreams) {
     auto found = aDirectory.Agents().find(id);
-    if (found != aDirectory.Agents().end() && found->second.MayTakeWork() &&
-        !aExcluded.contains(id)) {
-      live.push_back(id);
+    const bool isUsable = found != aDirectory.Agents().end() &&
+                          found->second.MayTakeWork() &&
+                          !aExcluded.contains(id);
+    if (isUsable) {
+      (found->second.m_ejectedUntil > aNow ? ejected : live).push_back(id);
     }
   }
+  if (live.empty()) {
+    // Better a doubtful upstream than none.
+    live.swap(ejected);
+  }
   if (live.empty()) {
     return std::nullopt;
   }
--- a/lib/Router/RequestTable.cpp
+++ b/lib/Router/RequestTable.cpp
@@ -114,6 +114,7 @@
   attempt.m_agent = agent.m_agent;
   attempt.m_isCounted = true;
   ++agent.m_outstanding;
+  ++agent.m_chosen;
   request.m_current = id;
   if (request.m_new.m_dispatch.m_keyed) {
     Claim(id);
@@ -497,6 +498,14 @@
     return;
   }
   CountOut(*attempt);
+  if (AgentView* agent = m_directory->Find(aFrom);
+      agent != nullptr && !attempt->m_isAttach) {
+    const bool isFailure = aMessage.m_code == ResultCode::kUpstreamFailed;
+    const bool isSuccess = aMessage.m_code == ResultCode::kOk;
+    if (isFailure || isSuccess) {
+      m_balancer->NoteOutcome(*agent, isSuccess, m_timers.m_now());
+    }
+  }
   if (request == nullptr) {
     return;
   }
--- a/lib/Testing/FakeFleet.cpp
+++ b/lib/Testing/FakeFleet.cpp
@@ -60,6 +60,7 @@
     m_ended;
   std::set<RunId> m_cancelled;
   double m_slowdown = 1;
+  bool m_fails = false;
 };
 
 FakeFleet::FakeFleet(FakeFleetOptions aOptions)
@@ -215,6 +216,7 @@
   RouterOptions options;
   options.m_process = name;
   options.m_zone = m_options.m_zones[aIndex % m_options.m_zones.size()];
+  options.m_balancer = m_options.m_balancer;
   options.m_balancer.m_zone = options.m_zone;
   options.m_seed = m_options.m_seed * 1000 + aIndex;
   for (int i = 0; i < m_options.m_routers; ++i) {
@@ -289,6 +291,7 @@
   options.m_agent.m_upstream = UpstreamId(name);
   options.m_agent.m_agent = AgentId(absl::StrCat(name, "-life", ++m_lives));
   options.m_agent.m_zone = m_options.m_zones[aIndex % m_options.m_zones.size()];
+  options.m_agent.m_admission = m_options.m_admission;
   auto keyValue = m_keyValue.HooksFor(
     host.m_process, [this, name] { return !m_cutFromKeyValue.contains(name); });
   host.m_journal = std::make_unique<Journal>(JournalOptions{},
@@ -360,6 +363,12 @@
   m_agents[aAgent]->m_slowdown = aFactor;
 }
 
+void
+FakeFleet::SetFailing(int aAgent, bool aFails)
+{
+  m_agents[aAgent]->m_fails = aFails;
+}
+
 void
 FakeFleet::HealAll()
 {
@@ -393,6 +402,8 @@
   dispatch.m_keyed = !aKey.starts_with("~");
   dispatch.m_fingerprint = "f" + aKey;
   dispatch.m_kind = WorkKind::kChat;
+  auto weight = m_options.m_weights.find(aAccount);
+  dispatch.m_weight = weight == m_options.m_weights.end() ? 1 : weight->second;
   dispatch.m_target = "m";
   dispatch.m_maxOutput = aTokens;
   dispatch.m_allotment = m_options.m_upstream.m_promptTokens + aTokens;
@@ -497,6 +508,11 @@
     host.m_node->Core().OnUpstreamEnd(aRun, outcome);
     return;
   }
+  if (host.m_fails && aIndex > aDispatch.m_resumeTokens) {
+    outcome.m_code = ResultCode::kUpstreamFailed;
+    host.m_node->Core().OnUpstreamEnd(aRun, outcome);
+    return;
+  }
   if (aIndex >= aDispatch.m_maxOutput) {
     m_runs[aRecord].m_isComplete = true;
     outcome.m_finishReason = "length";
