--- a/include/bergamotpaddle/Agent/AgentCore.h
+++ b/include/bergamotpaddle/Agent/AgentCore.h
@@ -125,6 +125,7 @@
   void BookCharge(const WorkRecord& aRecord, std::uint64_t aTokens);
   std::uint64_t ChargeOf(const WorkRecord& aRecord,
                          const UpstreamOutcome& aOutcome) const;
+  std::uint32_t Load() const;
   void ExpireWaiting();
   void Sweep();
   void Note(const std::string& aName,
--- a/include/bergamotpaddle/Router/AgentDirectory.h
+++ b/include/bergamotpaddle/Router/AgentDirectory.h
@@ -7,6 +7,7 @@
 #include "bergamotpaddle/Support/Time.h"
 #include "bergamotpaddle/Wire/Messages.h"
 
+#include <algorithm>
 #include <functional>
 #include <set>
 
@@ -34,6 +35,9 @@
   Instant m_nextDial{};
   bool m_leaving = false;          ///< The host list says so.
   std::uint32_t m_outstanding = 0; ///< Own attempts that have not ended.
+  std::uint32_t m_unaccepted =
+    0;                      ///< Of these, not yet in what the agent reports.
+  std::uint32_t m_load = 0; ///< Runs there by the last message of any kind.
   double m_firstByteMicros =
     0;                    ///< Moving average of the time to the first byte.
   double m_gapMicros = 0; ///< Moving average of the time between pieces.
@@ -43,6 +47,13 @@
   int m_ejections = 0; ///< Since it last proved good.
   Instant m_ejectedUntil{};
 
+  /// It comes back from a retreat: slow start, and one failure takes it out.
+  void BeginProbation(Instant aNow)
+  {
+    m_upSince = aNow;
+    m_ejections = std::max(m_ejections, 1);
+  }
+
   /// Whether new work may go there.
   bool MayTakeWork() const
   {
--- a/include/bergamotpaddle/Router/Balancer.h
+++ b/include/bergamotpaddle/Router/Balancer.h
@@ -1,10 +1,10 @@
 /// \file
 /// Chooses the upstream of an attempt.
 ///
-/// An upstream's load is what this router itself has outstanding there, plus a
-/// discounted part of what its agent reported last: reports are late, own
-/// counts are not. Upstreams that answer much slower than the middle of their
-/// pool are avoided softly, never more than a third of the pool, and probed.
+/// An upstream's load is what its agent said last, which every piece of an
+/// answer brings, and what this router has sent there since. Upstreams that
+/// answer much slower than the middle of their pool are avoided softly, never
+/// more than a third of the pool, and probed.
 #pragma once
 
 #include "bergamotpaddle/Router/AgentDirectory.h"
@@ -17,13 +17,12 @@
 /// How the balancer weighs what it knows.
 struct BalancerOptions
 {
-  std::string m_zone; ///< The router's own.
-  double m_reportWeight =
-    0.5; ///< Of the agent's reported work that is not ours.
+  std::string m_zone;                ///< The router's own.
   double m_foreignZonePenalty = 0.5; ///< In outstanding attempts.
-  double m_slowFactor = 3.0;   ///< Times the pool's middle that counts as slow.
-  double m_probeChance = 0.02; ///< That a slow upstream is chosen all the same.
-  double m_smoothing = 0.2;    ///< Of the moving averages.
+  double m_slowFactor = 3.0; ///< Times the pool's middle that counts as slow.
+  double m_probeChance =
+    0.002;                  ///< That a slow upstream is chosen all the same.
+  double m_smoothing = 0.2; ///< Of the moving averages.
   int m_failuresBeforeEject = 3; ///< In a row.
   Duration m_firstEject =
     std::chrono::seconds(4); ///< Doubled each time, up to m_longestEject.
--- a/include/bergamotpaddle/Router/RequestTable.h
+++ b/include/bergamotpaddle/Router/RequestTable.h
@@ -134,7 +134,8 @@
     std::uint64_t m_generation = 0; ///< Of its placement.
     bool m_isAttach = false;        ///< Reads a run that is charged elsewhere.
     bool m_hasAllotment = false;
-    bool m_isCounted = false; ///< In the upstream's outstanding count.
+    bool m_isUnaccepted = false; ///< In the upstream's unaccepted count.
+    bool m_isCounted = false;    ///< In the upstream's outstanding count.
     Instant m_sentAt{};
     Instant m_lastPiece{};
     std::set<UpstreamId> m_asked; ///< Homes.
@@ -188,6 +189,8 @@
   void Fail(RequestNumber aNumber, ResultCode aCode, Ran aRan);
   void Complete(RequestNumber aNumber, const AnswerEnd& aEnd);
   void Deliver(Request& aRequest, Attempt& aAttempt, const AnswerData& aData);
+  void NoteLoad(Attempt& aAttempt, std::uint32_t aLoad);
+  void CountAccepted(Attempt& aAttempt);
   void CountOut(Attempt& aAttempt);
   void Note(const std::string& aName,
             const Request& aRequest,
--- a/include/bergamotpaddle/Wire/Messages.h
+++ b/include/bergamotpaddle/Wire/Messages.h
@@ -181,8 +181,9 @@
 {
   AttemptId m_attempt = 0;
   bool m_joined = false;
+  std::uint32_t m_load = 0; ///< Runs at the agent, running and waiting.
   auto operator<=>(const Accepted&) const = default;
-  MSGPACK_DEFINE(m_attempt, m_joined)
+  MSGPACK_DEFINE(m_attempt, m_joined, m_load)
 };
 
 /// Agent to router: the attempt did not start and never will.
@@ -201,8 +202,9 @@
   std::uint64_t m_offset = 0; ///< Of m_bytes in the whole answer.
   std::string m_bytes;
   std::uint64_t m_tokens = 0; ///< Of the whole answer up to the end of m_bytes.
+  std::uint32_t m_load = 0;   ///< Runs at the agent, running and waiting.
   auto operator<=>(const AnswerData&) const = default;
-  MSGPACK_DEFINE(m_attempt, m_offset, m_bytes, m_tokens)
+  MSGPACK_DEFINE(m_attempt, m_offset, m_bytes, m_tokens, m_load)
 };
 
 /// Agent to router: the answer is whole, or failed for good.
@@ -217,6 +219,7 @@
   std::uint64_t m_promptTokens = 0;
   std::uint64_t m_completionTokens = 0;
   std::string m_finishReason;
+  std::uint32_t m_load = 0; ///< Runs at the agent, running and waiting.
   auto operator<=>(const AnswerEnd&) const = default;
   MSGPACK_DEFINE(m_attempt,
                  m_code,
@@ -226,7 +229,8 @@
                  m_length,
                  m_promptTokens,
                  m_completionTokens,
-                 m_finishReason)
+                 m_finishReason,
+                 m_load)
 };
 
 /// Agent to the holder's router: the next charge of that holder here.
--- a/lib/Agent/AgentCore.cpp
+++ b/lib/Agent/AgentCore.cpp
@@ -66,6 +66,13 @@
   return heartbeat;
 }
 
+std::uint32_t
+AgentCore::Load() const
+{
+  return static_cast<std::uint32_t>(m_admission.Running() +
+                                    m_admission.Waiting());
+}
+
 void
 AgentCore::Note(const std::string& aName,
                 const Dispatch& aDispatch,
@@ -186,7 +193,7 @@
     return;
   }
   Note("joined", aDispatch);
-  m_hooks.m_send(aPeer, Accepted{ aDispatch.m_attempt, true });
+  m_hooks.m_send(aPeer, Accepted{ aDispatch.m_attempt, true, Load() });
   AddReader(aRecord, { aPeer, aDispatch.m_attempt }, 0);
 }
 
@@ -210,7 +217,7 @@
   aRecord.m_answer = dispatch.m_resumeText;
   m_waitingRuns.insert(aRecord.m_run);
   Note("accepted", dispatch);
-  m_hooks.m_send(aPeer, Accepted{ dispatch.m_attempt, false });
+  m_hooks.m_send(aPeer, Accepted{ dispatch.m_attempt, false, Load() });
   AddReader(aRecord, { aPeer, dispatch.m_attempt }, aRecord.m_answer.size());
   StartReady();
 }
@@ -220,7 +227,7 @@
 {
   const Dispatch& dispatch = aRecord.m_dispatch;
   const Reader reader{ aPeer, dispatch.m_attempt };
-  m_hooks.m_send(aPeer, Accepted{ dispatch.m_attempt, false });
+  m_hooks.m_send(aPeer, Accepted{ dispatch.m_attempt, false, Load() });
   aRecord.m_readers.push_back(reader);
   m_journal->Start(dispatch.m_target,
                    dispatch.m_account,
@@ -351,7 +358,7 @@
   const bool isOwn = aRecord.m_dispatch.m_attempt == aMessage.m_attempt &&
                      holder != m_holders.end() &&
                      holder->second == aRecord.m_dispatch.m_holder;
-  m_hooks.m_send(aPeer, Accepted{ aMessage.m_attempt, !isOwn });
+  m_hooks.m_send(aPeer, Accepted{ aMessage.m_attempt, !isOwn, Load() });
   AddReader(aRecord, { aPeer, aMessage.m_attempt }, aMessage.m_offset);
 }
 
@@ -412,7 +419,8 @@
                    AnswerData{ aReader.m_attempt,
                                aOffset,
                                aRecord.m_answer.substr(aOffset),
-                               TokensOf(aRecord) });
+                               TokensOf(aRecord),
+                               Load() });
   }
   if (aRecord.m_state == WorkState::kFinished) {
     SendEnd(aRecord, aReader);
@@ -426,6 +434,7 @@
 {
   AnswerEnd end = aRecord.m_end;
   end.m_attempt = aReader.m_attempt;
+  end.m_load = Load();
   m_hooks.m_send(aReader.m_peer, end);
 }
 
@@ -476,7 +485,8 @@
   for (const Reader& reader : record->m_readers) {
     m_hooks.m_send(
       reader.m_peer,
-      AnswerData{ reader.m_attempt, offset, aBytes, TokensOf(*record) });
+      AnswerData{
+        reader.m_attempt, offset, aBytes, TokensOf(*record), Load() });
   }
 }
 
--- a/lib/Bench/Measures.cpp
+++ b/lib/Bench/Measures.cpp
@@ -80,7 +80,7 @@
 double
 WaitRatio(const Deployment& aDeployment, const FakeFleetOptions& aOptions)
 {
-  constexpr double kLoad = 0.75;
+  constexpr double kLoad = 0.9;
   const double with = ShortP99(RunSteady(aDeployment, aOptions, kLoad, true));
   const double without =
     ShortP99(RunSteady(aDeployment, aOptions, kLoad, false));
@@ -343,7 +343,7 @@
 };
 
 constexpr std::uint64_t kScarceBudget = 400'000;
-constexpr double kLeftAtPartition = 0.1;
+constexpr std::uint64_t kLeft = kScarceBudget / 10; ///< At the partition.
 
 /// Requests that an even split over routers would refuse with budget left.
 double
@@ -360,12 +360,12 @@
       aRouters;
     std::uint64_t& mine = spent[{ aTrace[i].m_account, router }];
     std::uint64_t& all = spentInAll[aTrace[i].m_account];
-    if (mine + cost <= kScarceBudget / aRouters) {
+    if (mine + cost <= kLeft / aRouters) {
       mine += cost;
       all += cost;
       continue;
     }
-    refused += all + cost <= kScarceBudget ? 1 : 0;
+    refused += all + cost <= kLeft ? 1 : 0;
   }
   return static_cast<double>(refused) / static_cast<double>(aTrace.size());
 }
@@ -383,8 +383,7 @@
     // Nine tenths are spent already.
     BudgetValue budget;
     budget.m_topUps["initial"] = tokens;
-    budget.m_charged = static_cast<std::uint64_t>((1 - kLeftAtPartition) *
-                                                  static_cast<double>(tokens));
+    budget.m_charged = tokens - kLeft;
     static_cast<void>(fleet.KeyValue().Store().CompareAndSwap(
       BudgetKey(AccountId(account)), 0, budget.ToJson()));
   }
@@ -412,11 +411,9 @@
       answered[result.m_request.m_account] += cost;
     }
   }
-  const auto left = static_cast<std::uint64_t>(
-    kLeftAtPartition * static_cast<double>(kScarceBudget));
   for (const auto& [account, tokens] : answered) {
     outcome.m_overspend +=
-      tokens > left ? static_cast<double>(tokens - left) : 0;
+      tokens > kLeft ? static_cast<double>(tokens - kLeft) : 0;
   }
   std::map<std::string, std::uint64_t> spent;
   std::vector<const TraceResult*> byEnd;
@@ -434,7 +431,7 @@
     sum += result->m_isDone ? cost : 0;
     const bool isForBudget = result->m_code == ResultCode::kBudgetExhausted ||
                              result->m_code == ResultCode::kCreditUnreachable;
-    if (result->m_isRefused && isForBudget && sum + cost <= left) {
+    if (result->m_isRefused && isForBudget && sum + cost <= kLeft) {
       outcome.m_falseRefusals += 1;
     }
   }
--- a/lib/Router/AgentDirectory.cpp
+++ b/lib/Router/AgentDirectory.cpp
@@ -31,7 +31,11 @@
   }
   for (const auto& [id, config] : aConfiguration.m_upstreams) {
     AgentView& agent = m_agents[id];
+    const bool isReturning = agent.m_config.m_drained && !config.m_drained;
     agent.m_config = config;
+    if (isReturning) {
+      agent.BeginProbation(m_timers.m_now());
+    }
     agent.m_leaving = m_leaving.contains(id);
   }
   Tick();
@@ -91,6 +95,9 @@
   agent->m_agent = aMessage.m_agent;
   agent->m_isUp = true;
   agent->m_lastHeard = m_timers.m_now();
+  if (!isSameLife) {
+    agent->BeginProbation(agent->m_lastHeard);
+  }
   agent->m_upSince = agent->m_lastHeard;
   agent->m_heartbeat = Heartbeat{};
   m_hooks.m_up(id, isSameLife);
@@ -101,6 +108,7 @@
 {
   if (AgentView* agent = Find(UpstreamOf(aPeer))) {
     agent->m_heartbeat = aMessage;
+    agent->m_load = aMessage.m_running + aMessage.m_waiting;
   }
 }
 
--- a/lib/Router/Balancer.cpp
+++ b/lib/Router/Balancer.cpp
@@ -118,14 +118,11 @@
   if (m_options.m_score) {
     return m_options.m_score(aAgent, aNow);
   }
-  const double reported =
-    aAgent.m_heartbeat.m_running + aAgent.m_heartbeat.m_waiting;
-  const double own = aAgent.m_outstanding;
-  double load = own + m_options.m_reportWeight * std::max(0.0, reported - own);
+  double load = aAgent.m_load + aAgent.m_unaccepted;
   if (aAgent.m_config.m_zone != m_options.m_zone) {
     load += m_options.m_foreignZonePenalty;
   }
-  const Duration age = aNow - aAgent.m_upSince;
+  const Duration age = aNow - std::max(aAgent.m_upSince, aAgent.m_ejectedUntil);
   if (age < m_options.m_slowStart) {
     const double share =
       std::max(0.1, std::chrono::duration<double>(age) / m_options.m_slowStart);
--- a/lib/Router/RequestTable.cpp
+++ b/lib/Router/RequestTable.cpp
@@ -114,6 +114,8 @@
   attempt.m_agent = agent.m_agent;
   attempt.m_isCounted = true;
   ++agent.m_outstanding;
+  attempt.m_isUnaccepted = true;
+  ++agent.m_unaccepted;
   ++agent.m_chosen;
   request.m_current = id;
   if (request.m_new.m_dispatch.m_keyed) {
@@ -394,6 +396,7 @@
     ++m_counters.m_staleFrames;
     return;
   }
+  NoteLoad(*attempt, aMessage.m_load);
   if (aMessage.m_joined && attempt->m_hasAllotment) {
     // Somebody else's run, charged there.
     m_hooks.m_ledger().Release(aMessage.m_attempt);
@@ -452,6 +455,7 @@
     ++m_counters.m_staleFrames;
     return;
   }
+  NoteLoad(*attempt, aMessage.m_load);
   Deliver(*request, *attempt, aMessage);
 }
 
@@ -497,6 +501,7 @@
     ++m_counters.m_staleFrames;
     return;
   }
+  NoteLoad(*attempt, aMessage.m_load);
   CountOut(*attempt);
   if (AgentView* agent = m_directory->Find(aFrom);
       agent != nullptr && !attempt->m_isAttach) {
@@ -767,9 +772,31 @@
   }
 }
 
+void
+RequestTable::NoteLoad(Attempt& aAttempt, std::uint32_t aLoad)
+{
+  AgentView* agent = m_directory->Find(aAttempt.m_place);
+  if (agent == nullptr) {
+    return;
+  }
+  agent->m_load = aLoad;
+  CountAccepted(aAttempt);
+}
+
+void
+RequestTable::CountAccepted(Attempt& aAttempt)
+{
+  AgentView* agent = m_directory->Find(aAttempt.m_place);
+  if (aAttempt.m_isUnaccepted && agent != nullptr && agent->m_unaccepted > 0) {
+    --agent->m_unaccepted;
+  }
+  aAttempt.m_isUnaccepted = false;
+}
+
 void
 RequestTable::CountOut(Attempt& aAttempt)
 {
+  CountAccepted(aAttempt);
   AgentView* agent = m_directory->Find(aAttempt.m_place);
   if (aAttempt.m_isCounted && agent != nullptr && agent->m_outstanding > 0) {
     --agent->m_outstanding;
