--- a/include/bergamotpaddle/Agent/Admission.h
+++ b/include/bergamotpaddle/Agent/Admission.h
@@ -2,7 +2,8 @@
 /// Decides which accepted work an upstream runs next.
 ///
 /// Three rules: the queue is bounded and a full one refuses at once; some slots
-/// are kept for short work, so that it never waits behind long work; within a
+/// are kept for short work, as many as it has used lately and at least the
+/// configured number, so that it does not wait behind long work; within a
 /// class the client accounts share by weight, whatever each has queued.
 #pragma once
 
@@ -47,6 +48,9 @@
   /// The run has ended, or its work is not wanted any more.
   void Remove(RunId aRun);
 
+  /// What short work that comes now competes with: runs, and short ones that
+  /// wait. Waiting long work lets short work pass.
+  std::size_t LoadForShort() const { return m_running.size() + m_short.size(); }
   std::size_t Running() const { return m_running.size(); }
   std::size_t Waiting() const { return m_waiting.size(); }
 
@@ -68,6 +72,7 @@
   {
     return IsShort(aRequest) ? m_short : m_long;
   }
+  std::size_t SlotsForLong() const;
   std::optional<RunId> TakeFrom(std::set<Queued>& aQueue);
 
   AdmissionOptions m_options;
@@ -76,6 +81,8 @@
   std::map<RunId, Queued> m_waiting;
   std::map<RunId, bool> m_running; ///< Whether the run is short.
   std::size_t m_runningLong = 0;
+  double m_shortDemand =
+    0; ///< Moving average of the short runs here, seen by arriving ones.
   double m_virtualTime = 0;
   std::map<AccountId, double> m_lastDue;
   std::uint64_t m_nextOrder = 0;
--- a/include/bergamotpaddle/Router/Balancer.h
+++ b/include/bergamotpaddle/Router/Balancer.h
@@ -19,6 +19,8 @@
 {
   std::string m_zone;                ///< The router's own.
   double m_foreignZonePenalty = 0.5; ///< In outstanding attempts.
+  double m_longPenalty =
+    3.0; ///< Of each long run of ours there, for another: spreads them.
   double m_slowFactor = 3.0; ///< Times the pool's middle that counts as slow.
   double m_probeChance =
     0.002;                  ///< That a slow upstream is chosen all the same.
@@ -44,7 +46,8 @@
   std::optional<UpstreamId> Pick(const AgentDirectory& aDirectory,
                                  const PoolConfig& aPool,
                                  const std::set<UpstreamId>& aExcluded,
-                                 Instant aNow);
+                                 Instant aNow,
+                                 bool aIsLong = false);
 
   /// Feeds the moving averages of \p aAgent.
   void NoteFirstByte(AgentView& aAgent, Duration aTime) const;
@@ -60,7 +63,7 @@
               const AgentView& aAgent) const;
 
 private:
-  double Load(const AgentView& aAgent, Instant aNow) const;
+  double Load(const AgentView& aAgent, Instant aNow, bool aIsLong) const;
   std::set<UpstreamId> SlowOnes(const AgentDirectory& aDirectory,
                                 const std::vector<UpstreamId>& aLive) const;
 
--- a/include/bergamotpaddle/Router/RequestTable.h
+++ b/include/bergamotpaddle/Router/RequestTable.h
@@ -135,7 +135,8 @@
     bool m_isAttach = false;        ///< Reads a run that is charged elsewhere.
     bool m_hasAllotment = false;
     bool m_isUnaccepted = false; ///< In the upstream's unaccepted count.
-    bool m_isCounted = false;    ///< In the upstream's outstanding count.
+    bool m_isLong = false;
+    bool m_isCounted = false; ///< In the upstream's outstanding count.
     Instant m_sentAt{};
     Instant m_lastPiece{};
     std::set<UpstreamId> m_asked; ///< Homes.
--- a/include/bergamotpaddle/Wire/Messages.h
+++ b/include/bergamotpaddle/Wire/Messages.h
@@ -55,6 +55,7 @@
   bool m_upstreamHealthy = true;
   std::uint32_t m_running = 0;
   std::uint32_t m_waiting = 0;
+  std::uint32_t m_load = 0;            ///< What short work competes with.
   std::uint64_t m_ageMilliseconds = 0; ///< Since the sender started.
   auto operator<=>(const Heartbeat&) const = default;
   MSGPACK_DEFINE(m_configVersion,
@@ -62,6 +63,7 @@
                  m_upstreamHealthy,
                  m_running,
                  m_waiting,
+                 m_load,
                  m_ageMilliseconds)
 };
 
@@ -181,7 +183,7 @@
 {
   AttemptId m_attempt = 0;
   bool m_joined = false;
-  std::uint32_t m_load = 0; ///< Runs at the agent, running and waiting.
+  std::uint32_t m_load = 0; ///< What short work competes with there.
   auto operator<=>(const Accepted&) const = default;
   MSGPACK_DEFINE(m_attempt, m_joined, m_load)
 };
@@ -202,7 +204,7 @@
   std::uint64_t m_offset = 0; ///< Of m_bytes in the whole answer.
   std::string m_bytes;
   std::uint64_t m_tokens = 0; ///< Of the whole answer up to the end of m_bytes.
-  std::uint32_t m_load = 0;   ///< Runs at the agent, running and waiting.
+  std::uint32_t m_load = 0;   ///< What short work competes with there.
   auto operator<=>(const AnswerData&) const = default;
   MSGPACK_DEFINE(m_attempt, m_offset, m_bytes, m_tokens, m_load)
 };
@@ -219,7 +221,7 @@
   std::uint64_t m_promptTokens = 0;
   std::uint64_t m_completionTokens = 0;
   std::string m_finishReason;
-  std::uint32_t m_load = 0; ///< Runs at the agent, running and waiting.
+  std::uint32_t m_load = 0; ///< What short work competes with there.
   auto operator<=>(const AnswerEnd&) const = default;
   MSGPACK_DEFINE(m_attempt,
                  m_code,
--- a/lib/Agent/Admission.cpp
+++ b/lib/Agent/Admission.cpp
@@ -1,10 +1,17 @@
 #include "bergamotpaddle/Agent/Admission.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace bergamotpaddle {
 
+namespace {
+
+constexpr double kDemandSmoothing = 0.05;
+
+} // namespace
+
 Admission::Admission(AdmissionOptions aOptions)
   : m_options(aOptions)
 {
@@ -22,6 +29,11 @@
   if (m_waiting.size() >= m_options.m_maxWaiting) {
     return false;
   }
+  if (IsShort(aRequest)) {
+    const std::size_t runningShort = m_running.size() - m_runningLong;
+    const auto present = static_cast<double>(runningShort + m_short.size() + 1);
+    m_shortDemand += kDemandSmoothing * (present - m_shortDemand);
+  }
   const double start = std::max(m_virtualTime, m_lastDue[aRequest.m_account]);
   const double due = start + static_cast<double>(aRequest.m_cost) /
                                std::max(1U, aRequest.m_weight);
@@ -34,6 +46,15 @@
   return true;
 }
 
+std::size_t
+Admission::SlotsForLong() const
+{
+  const auto used = static_cast<std::size_t>(std::ceil(m_shortDemand));
+  const std::size_t kept = std::max(m_options.m_slotsKeptForShort,
+                                    m_options.m_firstInFirstOut ? 0 : used);
+  return m_options.m_slots - std::min(kept, m_options.m_slots - 1);
+}
+
 std::optional<RunId>
 Admission::TakeNext()
 {
@@ -43,10 +64,7 @@
   if (!m_short.empty()) {
     return TakeFrom(m_short);
   }
-  const std::size_t slotsForLong =
-    m_options.m_slots -
-    std::min(m_options.m_slotsKeptForShort, m_options.m_slots - 1);
-  if (m_long.empty() || m_runningLong >= slotsForLong) {
+  if (m_long.empty() || m_runningLong >= SlotsForLong()) {
     return std::nullopt;
   }
   return TakeFrom(m_long);
--- a/lib/Agent/AgentCore.cpp
+++ b/lib/Agent/AgentCore.cpp
@@ -59,6 +59,7 @@
   heartbeat.m_upstreamHealthy = m_upstreamHealthy;
   heartbeat.m_running = static_cast<std::uint32_t>(m_admission.Running());
   heartbeat.m_waiting = static_cast<std::uint32_t>(m_admission.Waiting());
+  heartbeat.m_load = Load();
   heartbeat.m_ageMilliseconds = static_cast<std::uint64_t>(
     std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.m_now() -
                                                           m_startedAt)
@@ -69,8 +70,7 @@
 std::uint32_t
 AgentCore::Load() const
 {
-  return static_cast<std::uint32_t>(m_admission.Running() +
-                                    m_admission.Waiting());
+  return static_cast<std::uint32_t>(m_admission.LoadForShort());
 }
 
 void
--- a/lib/Router/AgentDirectory.cpp
+++ b/lib/Router/AgentDirectory.cpp
@@ -108,7 +108,7 @@
 {
   if (AgentView* agent = Find(UpstreamOf(aPeer))) {
     agent->m_heartbeat = aMessage;
-    agent->m_load = aMessage.m_running + aMessage.m_waiting;
+    agent->m_load = aMessage.m_load;
   }
 }
 
--- a/lib/Router/Balancer.cpp
+++ b/lib/Router/Balancer.cpp
@@ -113,12 +113,15 @@
 }
 
 double
-Balancer::Load(const AgentView& aAgent, Instant aNow) const
+Balancer::Load(const AgentView& aAgent, Instant aNow, bool aIsLong) const
 {
   if (m_options.m_score) {
     return m_options.m_score(aAgent, aNow);
   }
   double load = aAgent.m_load + aAgent.m_unaccepted;
+  if (aIsLong) {
+    load += m_options.m_longPenalty * aAgent.m_outstandingLong;
+  }
   if (aAgent.m_config.m_zone != m_options.m_zone) {
     load += m_options.m_foreignZonePenalty;
   }
@@ -135,7 +138,8 @@
 Balancer::Pick(const AgentDirectory& aDirectory,
                const PoolConfig& aPool,
                const std::set<UpstreamId>& aExcluded,
-               Instant aNow)
+               Instant aNow,
+               bool aIsLong)
 {
   std::vector<UpstreamId> live;
   std::vector<UpstreamId> ejected;
@@ -168,8 +172,8 @@
     live.begin(),
     live.end(),
     [&](const UpstreamId& aLeft, const UpstreamId& aRight) {
-      return Load(aDirectory.Agents().at(aLeft), aNow) <
-             Load(aDirectory.Agents().at(aRight), aNow);
+      return Load(aDirectory.Agents().at(aLeft), aNow, aIsLong) <
+             Load(aDirectory.Agents().at(aRight), aNow, aIsLong);
     });
 }
 
--- a/lib/Router/RequestTable.cpp
+++ b/lib/Router/RequestTable.cpp
@@ -96,7 +96,10 @@
   const auto& pools = m_hooks.m_configuration().m_pools;
   auto pool = pools.find(request.m_new.m_pool);
   std::optional<UpstreamId> place;
+  bool isLong = false;
   if (pool != pools.end()) {
+    isLong = request.m_new.m_dispatch.m_maxOutput >
+             pool->second.m_admission.m_shortTokens;
     place = m_balancer->Pick(
       *m_directory, pool->second, request.m_excluded, m_timers.m_now());
   }
@@ -117,6 +120,8 @@
   attempt.m_isUnaccepted = true;
   ++agent.m_unaccepted;
   ++agent.m_chosen;
+  attempt.m_isLong = isLong;
+  agent.m_outstandingLong += isLong ? 1 : 0;
   request.m_current = id;
   if (request.m_new.m_dispatch.m_keyed) {
     Claim(id);
@@ -800,6 +805,7 @@
   AgentView* agent = m_directory->Find(aAttempt.m_place);
   if (aAttempt.m_isCounted && agent != nullptr && agent->m_outstanding > 0) {
     --agent->m_outstanding;
+    agent->m_outstandingLong -= aAttempt.m_isLong ? 1 : 0;
   }
   aAttempt.m_isCounted = false;
 }
