--- a/include/bergamotpaddle/Router/AgentDirectory.h
+++ b/include/bergamotpaddle/Router/AgentDirectory.h
@@ -38,7 +38,8 @@
   std::uint32_t m_unaccepted =
     0; ///< Of these, not yet in what the agent reports.
   std::uint32_t m_outstandingLong = 0; ///< Of the outstanding, long ones.
-  std::uint32_t m_load = 0; ///< What short work competes with there, by the last message.
+  std::uint32_t m_load =
+    0; ///< What short work competes with there, by the last message.
   double m_firstByteMicros =
     0;                    ///< Moving average of the time to the first byte.
   double m_gapMicros = 0; ///< Moving average of the time between pieces.
--- a/include/bergamotpaddle/Router/RouterCore.h
+++ b/include/bergamotpaddle/Router/RouterCore.h
@@ -7,6 +7,7 @@
 #include "bergamotpaddle/Config/ConfigWatcher.h"
 #include "bergamotpaddle/Router/CreditExchange.h"
 #include "bergamotpaddle/Router/HolderWatch.h"
+#include "bergamotpaddle/Router/KeyValueRelay.h"
 #include "bergamotpaddle/Router/RequestTable.h"
 
 namespace bergamotpaddle {
@@ -82,6 +83,7 @@
   const RequestTable& Requests() const { return m_requests; }
   const Ledger& CurrentLedger() const { return *m_ledger; }
   const Balancer& CurrentBalancer() const { return m_balancer; }
+  std::uint64_t RelayedOperations() const { return m_relay.Relayed(); }
   std::size_t RecoveriesUnderWay() const { return m_recovery.UnderWay(); }
   bool IsStopping() const { return m_stopping; }
   void SetStopping() { m_stopping = true; }
@@ -110,6 +112,8 @@
   void On(PeerId aPeer, const ConfigOffer& aMessage);
   void On(PeerId aPeer, const CreditRequest& aMessage);
   void On(PeerId aPeer, const CreditReply& aMessage);
+  void On(PeerId aPeer, const KeyValueAsk& aMessage);
+  void On(PeerId aPeer, const KeyValueTell& aMessage);
   /// Messages that are not for a router.
   template<typename Other>
   void On(PeerId, const Other&)
@@ -125,9 +129,10 @@
   Heartbeat MakeHeartbeat() const;
 
   RouterOptions m_options;
-  KeyValueHooks m_keyValue;
   TimerHooks m_timers;
   RouterHooks m_hooks;
+  KeyValueRelay m_relay;
+  KeyValueHooks m_keyValue; ///< By the relay.
   ConfigStore m_config;
   ConfigWatcher m_configWatcher;
   AgentDirectory m_directory;
--- a/include/bergamotpaddle/Wire/Messages.h
+++ b/include/bergamotpaddle/Wire/Messages.h
@@ -321,6 +321,53 @@
   MSGPACK_DEFINE(m_question, m_account, m_returned)
 };
 
+/// What a router asks another one to do at the key-value service for it.
+enum class KeyValueOperation : int
+{
+  kGet = 1,
+  kCompareAndSwap = 2,
+  kKeepAlive = 3,
+};
+
+/// Router to router: I do not reach the key-value service; do this for me.
+struct KeyValueAsk
+{
+  std::uint64_t m_question = 0;
+  KeyValueOperation m_operation = KeyValueOperation::kGet;
+  std::string m_key;
+  std::uint64_t m_revision = 0;
+  bool m_hasValue = false; ///< A compare-and-swap without value removes.
+  std::string m_value;
+  std::int64_t m_timeToLiveMicros = 0; ///< Of a lease.
+  auto operator<=>(const KeyValueAsk&) const = default;
+  MSGPACK_DEFINE(m_question,
+                 m_operation,
+                 m_key,
+                 m_revision,
+                 m_hasValue,
+                 m_value,
+                 m_timeToLiveMicros)
+};
+
+/// How an operation asked for by a KeyValueAsk ended.
+enum class KeyValueOutcome : int
+{
+  kDone = 1,
+  kConflict = 2, ///< Another revision: nothing was written.
+  kNoAnswer = 3, ///< Unclear, as if asked directly.
+};
+
+/// Answer to a KeyValueAsk.
+struct KeyValueTell
+{
+  std::uint64_t m_question = 0;
+  KeyValueOutcome m_outcome = KeyValueOutcome::kNoAnswer;
+  std::uint64_t m_revision = 0;
+  std::string m_value;
+  auto operator<=>(const KeyValueTell&) const = default;
+  MSGPACK_DEFINE(m_question, m_outcome, m_revision, m_value)
+};
+
 using Message = std::variant<Introduce,
                              Heartbeat,
                              ClaimRequest,
@@ -338,7 +385,9 @@
                              SealReply,
                              ConfigOffer,
                              CreditRequest,
-                             CreditReply>;
+                             CreditReply,
+                             KeyValueAsk,
+                             KeyValueTell>;
 
 /// A message with the sender's hybrid logical time.
 struct Envelope
@@ -363,3 +412,5 @@
 MSGPACK_ADD_ENUM(bergamotpaddle::ClaimVerdict)
 MSGPACK_ADD_ENUM(bergamotpaddle::ResultCode)
 MSGPACK_ADD_ENUM(bergamotpaddle::Ran)
+MSGPACK_ADD_ENUM(bergamotpaddle::KeyValueOperation)
+MSGPACK_ADD_ENUM(bergamotpaddle::KeyValueOutcome)
--- a/lib/Router/RouterCore.cpp
+++ b/lib/Router/RouterCore.cpp
@@ -16,9 +16,10 @@
                        TimerHooks aTimers,
                        RouterHooks aHooks)
   : m_options(std::move(aOptions))
-  , m_keyValue(std::move(aKeyValue))
   , m_timers(std::move(aTimers))
   , m_hooks(std::move(aHooks))
+  , m_relay(std::move(aKeyValue), m_timers, m_hooks.m_send)
+  , m_keyValue(m_relay.Hooks())
   , m_configWatcher(
       m_keyValue,
       m_timers,
@@ -195,6 +196,7 @@
 {
   m_open.erase(aPeer);
   m_credit.OnClosed(aPeer);
+  m_relay.OnClosed(aPeer);
   m_directory.OnClosed(aPeer);
   for (PeerRouter& peer : m_peerRouters) {
     if (peer.m_peer == aPeer) {
@@ -221,6 +223,7 @@
 {
   if (aMessage.m_role == ProcessRole::kRouter) {
     m_credit.OnIntroduce(aPeer, aMessage);
+    m_relay.OnRouterLinked(aPeer);
     return;
   }
   m_directory.OnIntroduce(aPeer, aMessage);
@@ -303,6 +306,18 @@
   m_credit.On(aPeer, aMessage);
 }
 
+void
+RouterCore::On(PeerId aPeer, const KeyValueAsk& aMessage)
+{
+  m_relay.On(aPeer, aMessage);
+}
+
+void
+RouterCore::On(PeerId, const KeyValueTell& aMessage)
+{
+  m_relay.On(aMessage);
+}
+
 Heartbeat
 RouterCore::MakeHeartbeat() const
 {
@@ -337,6 +352,7 @@
     if (peer.m_peer != 0 && now - peer.m_lastHeard > kPeerDeadAfter) {
       m_hooks.m_close(peer.m_peer);
       m_credit.OnClosed(peer.m_peer);
+      m_relay.OnClosed(peer.m_peer);
       peer.m_peer = 0;
       peer.m_nextDial = now + m_options.m_peerRedialAfter;
     }
