Queue of an upstream: smallest work of the least served account first, push-out when full

Cause: at the crest a full queue refused whoever came, so accounts were served as they arrived, not by share, and within an account large work went before small. Ruled out: more tries at other upstreams (all queues are full at three times the capacity).

--- a/include/bergamotpaddle/Agent/Admission.h
+++ b/include/bergamotpaddle/Agent/Admission.h
@@ -1,10 +1,12 @@
 /// \file
-/// Decides which accepted work an upstream runs next.
+/// Decides which accepted work an upstream runs next, and which it gives back.
 ///
-/// Three rules: the queue is bounded and a full one refuses at once; some slots
-/// are kept for short work, as many as it has used lately and at least the
-/// configured number, so that it does not wait behind long work; within a
-/// class the client accounts share by weight, whatever each has queued.
+/// Three rules. Some slots are kept for short work, as many as it has used
+/// lately and at least the configured number, so that it does not wait behind
+/// long work. Within a class the client accounts share by weight, whatever each
+/// has queued, and an account's smallest work goes first. The queue is bounded:
+/// a full one gives back the largest work of the account that queues the most
+/// beyond its share.
 #pragma once
 
 #include "bergamotpaddle/Config/AdmissionOptions.h"
@@ -39,8 +41,9 @@
 
   void SetOptions(AdmissionOptions aOptions) { m_options = aOptions; }
 
-  /// Queues work; false if the queue is full.
-  bool Offer(const AdmissionRequest& aRequest);
+  /// Queues work. With a full queue some work has to go: the run returned,
+  /// which may be the one offered.
+  std::optional<RunId> Offer(const AdmissionRequest& aRequest);
 
   /// Takes the next run that may start now, if there is one.
   std::optional<RunId> TakeNext();
@@ -50,41 +53,71 @@
 
   /// What short work that comes now competes with: runs, and short ones that
   /// wait. Waiting long work lets short work pass.
-  std::size_t LoadForShort() const { return m_running.size() + m_short.size(); }
+  std::size_t LoadForShort() const
+  {
+    return m_running.size() + m_short.m_count;
+  }
   std::size_t Running() const { return m_running.size(); }
   std::size_t Waiting() const { return m_waiting.size(); }
 
 private:
-  /// A queued run; ordered by the time at which its account's share is due.
-  struct Queued
+  /// Orders an account's work: the smallest first, then in order of arrival.
+  struct Place
   {
-    double m_due = 0;
+    std::uint64_t m_cost = 0;
     std::uint64_t m_order = 0;
-    AdmissionRequest m_request;
-    bool operator<(const Queued& aOther) const;
+    RunId m_run = 0;
+    auto operator<=>(const Place&) const = default;
+  };
+
+  /// What one account has waiting in a class, and how much it was served.
+  struct Share
+  {
+    std::set<Place> m_waiting;
+    std::uint32_t m_weight = 1;
+    double m_served = 0;  ///< Cost by weight, in the class's virtual time.
+    double m_backlog = 0; ///< Waiting cost by weight.
+  };
+
+  /// Short or long work.
+  struct WorkClass
+  {
+    std::map<AccountId, Share> m_shares; ///< Of accounts with waiting work.
+    std::map<AccountId, double> m_past;  ///< Served, of accounts without.
+    double m_virtualTime = 0;
+    std::size_t m_count = 0;
   };
 
   bool IsShort(const AdmissionRequest& aRequest) const
   {
     return aRequest.m_cost <= m_options.m_shortTokens;
   }
-  std::set<Queued>& QueueOf(const AdmissionRequest& aRequest)
+  WorkClass& ClassOf(const AdmissionRequest& aRequest)
   {
     return IsShort(aRequest) ? m_short : m_long;
   }
+  Place PlaceOf(const AdmissionRequest& aRequest, std::uint64_t aOrder) const;
   std::size_t SlotsForLong() const;
-  std::optional<RunId> TakeFrom(std::set<Queued>& aQueue);
+  void NoteShortDemand();
+  std::optional<RunId> TakeFrom(WorkClass& aClass);
+  std::optional<RunId> MostBeyondShare() const;
+  void Dequeue(RunId aRun);
+
+  /// A waiting run.
+  struct Queued
+  {
+    AdmissionRequest m_request;
+    Place m_place;
+  };
 
   AdmissionOptions m_options;
-  std::set<Queued> m_short;
-  std::set<Queued> m_long;
+  WorkClass m_short;
+  WorkClass m_long;
   std::map<RunId, Queued> m_waiting;
   std::map<RunId, bool> m_running; ///< Whether the run is short.
   std::size_t m_runningLong = 0;
   double m_shortDemand =
     0; ///< Moving average of the short runs here, seen by arriving ones.
-  double m_virtualTime = 0;
-  std::map<AccountId, double> m_lastDue;
   std::uint64_t m_nextOrder = 0;
 };
 
--- a/lib/Agent/AgentCore.cpp
+++ b/lib/Agent/AgentCore.cpp
@@ -207,11 +207,15 @@
   request.m_weight = dispatch.m_weight;
   request.m_cost =
     dispatch.m_kind == WorkKind::kChat ? dispatch.m_maxOutput : 1;
-  if (!m_admission.Offer(request)) {
+  const std::optional<RunId> givenBack = m_admission.Offer(request);
+  if (givenBack == aRecord.m_run) {
     Refuse(aPeer, dispatch, ResultCode::kOverloaded);
     m_work.Remove(aRecord.m_run);
     return;
   }
+  if (givenBack.has_value()) {
+    GiveBack(*givenBack, ResultCode::kOverloaded);
+  }
   aRecord.m_state = WorkState::kWaiting;
   // Offsets are those of the whole answer, for whoever joins later as well.
   aRecord.m_answer = dispatch.m_resumeText;
--- /dev/null
+++ b/unittests/Agent/AdmissionTest.cpp
@@ -0,0 +1,90 @@
+/// \file
+/// The slots and the queue of one upstream.
+#include "bergamotpaddle/Agent/Admission.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotpaddle;
+
+namespace {
+
+AdmissionRequest
+Work(RunId aRun,
+     const std::string& aAccount,
+     std::uint64_t aCost,
+     std::uint32_t aWeight = 1)
+{
+  return { aRun, AccountId(aAccount), aWeight, aCost };
+}
+
+} // namespace
+
+TEST_CASE("an upstream's slots and queue", "[admission]")
+{
+  AdmissionOptions options;
+  options.m_slots = 4;
+  options.m_slotsKeptForShort = 1;
+  options.m_maxWaiting = 6;
+  options.m_shortTokens = 100;
+  Admission admission(options);
+
+  SECTION("long work never takes the slot kept for short work")
+  {
+    for (RunId run = 1; run <= 4; ++run) {
+      REQUIRE_FALSE(admission.Offer(Work(run, "a", 1000)).has_value());
+    }
+    for (RunId run = 1; run <= 3; ++run) {
+      CHECK(admission.TakeNext() == run);
+    }
+    CHECK_FALSE(admission.TakeNext().has_value());
+    admission.Offer(Work(5, "a", 10));
+    CHECK(admission.TakeNext() == 5);
+
+    SECTION("and goes on when long work ends")
+    {
+      admission.Remove(2);
+      CHECK(admission.TakeNext() == 4);
+    }
+  }
+
+  SECTION("accounts share by weight, whatever each has queued")
+  {
+    for (RunId run = 1; run <= 4; ++run) {
+      admission.Offer(Work(run, "greedy", 50));
+    }
+    admission.Offer(Work(5, "modest", 50));
+    CHECK(admission.TakeNext() == 1);
+    CHECK(admission.TakeNext() == 5);
+  }
+
+  SECTION("an account's smallest work goes first")
+  {
+    admission.Offer(Work(1, "a", 90));
+    admission.Offer(Work(2, "a", 10));
+    CHECK(admission.TakeNext() == 2);
+    CHECK(admission.TakeNext() == 1);
+  }
+
+  SECTION("a full queue gives back the largest work of whoever queues the most")
+  {
+    for (RunId run = 1; run <= 5; ++run) {
+      admission.Offer(Work(run, "greedy", 10 * run));
+    }
+    admission.Offer(Work(6, "modest", 20));
+    CHECK(admission.Offer(Work(7, "modest", 20)) == 5);
+    CHECK(admission.Waiting() == 6);
+
+    SECTION("which may be the work offered")
+    {
+      CHECK(admission.Offer(Work(8, "greedy", 99)) == 8);
+    }
+  }
+
+  SECTION("work that is not wanted any more leaves no trace")
+  {
+    admission.Offer(Work(1, "a", 10));
+    admission.Remove(1);
+    CHECK(admission.Waiting() == 0);
+    CHECK_FALSE(admission.TakeNext().has_value());
+  }
+}
