--- a/include/bergamotpaddle/Budget/Ledger.h
+++ b/include/bergamotpaddle/Budget/Ledger.h
@@ -11,7 +11,6 @@
 #include "bergamotpaddle/Budget/LedgerWriter.h"
 #include "bergamotpaddle/Wire/Messages.h"
 
-#include <algorithm>
 #include <deque>
 #include <memory>
 
@@ -25,8 +24,6 @@
   Duration m_idleBeforeReturn = std::chrono::seconds(5);
   Duration m_exhaustedPause =
     std::chrono::milliseconds(100); ///< Between looks at an exhausted budget.
-  Duration m_aheadPause =
-    std::chrono::milliseconds(500); ///< Between draws ahead of requests.
   Duration m_prefetchWindow =
     std::chrono::seconds(4); ///< Demand that one draw covers ahead.
   std::uint64_t m_shareDivisor =
@@ -145,14 +142,11 @@
     std::vector<std::function<void(bool)>> m_returns;
     Instant m_lastDemand{};
     Instant m_demandSince{};
-    std::uint64_t m_demand = 0;     ///< Tokens asked for since m_demandSince.
-    std::uint64_t m_pastDemand = 0; ///< In the window before.
-    Instant m_nextAhead{};          ///< No draw ahead of requests until then.
-    Instant m_nextDraw{}; ///< Requests wait until then for a fresh look.
+    std::uint64_t m_demand = 0; ///< Tokens allotted since m_demandSince.
+    Instant m_nextDraw{};       ///< Requests wait until then for a fresh look.
 
     std::uint64_t Committed() const { return m_allotted + m_charged; }
     std::uint64_t Free() const { return m_drawn - Committed(); }
-    std::uint64_t Ahead() const { return std::max(m_demand, m_pastDemand); }
   };
 
   /// An allotment.
@@ -166,7 +160,6 @@
   using AliveToken = std::shared_ptr<bool>;
 
   void Pump(const AccountId& aAccount);
-  bool ShouldDrawAhead(const Account& aState) const;
   void DrawWhenDue(const AccountId& aAccount, Account& aState);
   void GrantWaiters(const AccountId& aAccount, Account& aState);
   void Grant(const AccountId& aAccount, Account& aState, const Waiter& aWaiter);
--- a/lib/Budget/Ledger.cpp
+++ b/lib/Budget/Ledger.cpp
@@ -78,7 +78,6 @@
   const Instant now = m_timers.m_now();
   if (now - account.m_demandSince > m_options.m_prefetchWindow) {
     account.m_demandSince = now;
-    account.m_pastDemand = account.m_demand;
     account.m_demand = 0;
   }
   account.m_demand += aTokens;
@@ -102,25 +101,9 @@
   }
   if (!account.m_returns.empty()) {
     StartReturn(aAccount);
-    return;
-  }
-  if (ShouldDrawAhead(account)) {
-    account.m_nextAhead = m_timers.m_now() + m_options.m_aheadPause;
-    StartDraw(aAccount);
   }
 }
 
-bool
-Ledger::ShouldDrawAhead(const Account& aState) const
-{
-  // Before the next request has to wait for it, and only under demand.
-  const Instant now = m_timers.m_now();
-  const bool isWanted = now - aState.m_lastDemand <= m_options.m_prefetchWindow;
-  return !m_retiring && aState.m_opened && isWanted &&
-         now >= aState.m_nextAhead && now >= aState.m_nextDraw &&
-         aState.Free() < aState.Ahead() / 2;
-}
-
 void
 Ledger::DrawWhenDue(const AccountId& aAccount, Account& aState)
 {
@@ -326,13 +309,13 @@
       servesAny = true;
     }
   }
-  if (!servesAny && !aState.m_waiters.empty()) {
+  if (!servesAny) {
     return aMine;
   }
   // Draw ahead by recent demand, but leave the others their share.
   const std::uint64_t left = greatest - wanted;
   const std::uint64_t share = left / (m_options.m_shareDivisor * aHolders);
-  return wanted + std::min(aState.Ahead(), share);
+  return wanted + std::min(aState.m_demand, share);
 }
 
 void
