--- a/unittests/Fleet/PromiseTest.cpp
+++ b/unittests/Fleet/PromiseTest.cpp
@@ -82,6 +82,23 @@
   }
 }
 
+TEST_CASE("a stopping agent refuses what is already on its way", "[promise]")
+{
+  FakeFleet fleet(MakeOptions());
+  Oracle oracle(fleet);
+  fleet.Time().Advance(milliseconds(2000));
+  // No router can have heard of it when these leave.
+  fleet.Agent(1)->SetStopping();
+  for (int i = 0; i < 12; ++i) {
+    oracle.Ask(i % 2, "big", true, true, false, 5);
+  }
+  fleet.Time().Advance(milliseconds(20000));
+  CHECK(RunsSince(fleet, fleet.AgentName(1), Instant{}) == 0);
+  for (const CallerRequest& request : oracle.Requests()) {
+    CHECK(request.m_answers == 1);
+  }
+}
+
 TEST_CASE(
   "a planned stop of a router cuts off nothing and leaves nothing behind",
   "[promise]")
