Split the three largest files by what they decide; one sealed status, one count of tokens

No behaviour changes. Ruled out: classes of their own for each part (they share the state that the promises are about).

--- a/include/bergamotpaddle/Agent/WorkTable.h
+++ b/include/bergamotpaddle/Agent/WorkTable.h
@@ -44,6 +44,12 @@
   AnswerEnd m_end;
   std::vector<Reader> m_readers;
   Instant m_changedAt{};
+
+  /// Tokens of the whole answer so far, those resumed from included.
+  std::uint64_t TotalTokens() const
+  {
+    return m_dispatch.m_resumeTokens + m_generated;
+  }
 };
 
 /// Finds records by request and by run, and forgets finished ones.
--- a/include/bergamotpaddle/Budget/Values.h
+++ b/include/bergamotpaddle/Budget/Values.h
@@ -47,6 +47,10 @@
   static absl::StatusOr<LedgerValue> FromJson(const std::string& aText);
 };
 
+/// The status of whatever a sealed holder tries.
+absl::Status
+SealedStatus();
+
 /// `budget/<account>`.
 std::string
 BudgetKey(const AccountId& aAccount);
--- a/lib/Agent/AgentCore.cpp
+++ b/lib/Agent/AgentCore.cpp
@@ -5,16 +5,6 @@
 
 namespace bergamotpaddle {
 
-namespace {
-
-std::uint64_t
-TokensOf(const WorkRecord& aRecord)
-{
-  return aRecord.m_dispatch.m_resumeTokens + aRecord.m_generated;
-}
-
-} // namespace
-
 AgentCore::AgentCore(AgentOptions aOptions,
                      TimerHooks aTimers,
                      AgentHooks aHooks,
@@ -175,28 +165,6 @@
   AttachEarly({ aMessage.m_account, aMessage.m_key });
 }
 
-void
-AgentCore::Join(PeerId aPeer, const Dispatch& aDispatch, WorkRecord& aRecord)
-{
-  if (aRecord.m_state == WorkState::kRevoked) {
-    Refuse(aPeer, aDispatch, ResultCode::kRevoked);
-    return;
-  }
-  if (aRecord.m_dispatch.m_fingerprint != aDispatch.m_fingerprint) {
-    Refuse(aPeer, aDispatch, ResultCode::kKeyReused);
-    return;
-  }
-  // The caller holds the beginning of another run's answer: this one cannot
-  // continue it.
-  if (!aDispatch.m_resumeText.empty()) {
-    Refuse(aPeer, aDispatch, ResultCode::kRevoked);
-    return;
-  }
-  Note("joined", aDispatch);
-  m_hooks.m_send(aPeer, Accepted{ aDispatch.m_attempt, true, Load() });
-  AddReader(aRecord, { aPeer, aDispatch.m_attempt }, 0);
-}
-
 void
 AgentCore::Enqueue(PeerId aPeer, WorkRecord& aRecord)
 {
@@ -226,80 +194,6 @@
   StartReady();
 }
 
-void
-AgentCore::JournalStart(PeerId aPeer, WorkRecord& aRecord)
-{
-  const Dispatch& dispatch = aRecord.m_dispatch;
-  const Reader reader{ aPeer, dispatch.m_attempt };
-  m_hooks.m_send(aPeer, Accepted{ dispatch.m_attempt, false, Load() });
-  aRecord.m_readers.push_back(reader);
-  m_journal->Start(dispatch.m_target,
-                   dispatch.m_account,
-                   dispatch.m_key,
-                   dispatch.m_fingerprint,
-                   [this, run = aRecord.m_run](JournalVerdict aVerdict,
-                                               const JournalEntry& aEntry) {
-                     Journaled(run, aVerdict, aEntry);
-                   });
-}
-
-void
-AgentCore::Journaled(RunId aRun,
-                     JournalVerdict aVerdict,
-                     const JournalEntry& aEntry)
-{
-  WorkRecord* record = m_work.Find(aRun);
-  if (record == nullptr) {
-    return;
-  }
-  switch (aVerdict) {
-    case JournalVerdict::kStart:
-      Note("journaled", record->m_dispatch);
-      // The slots of a plain service are taken in the order of the journal.
-      record->m_state = WorkState::kRunning;
-      m_hooks.m_start(aRun, record->m_dispatch);
-      return;
-    case JournalVerdict::kDone:
-      AnswerFromJournal(aRun, aEntry);
-      return;
-    case JournalVerdict::kUnknown: {
-      UpstreamOutcome outcome;
-      outcome.m_code = ResultCode::kOutcomeUnknown;
-      outcome.m_ran = Ran::kUnknown;
-      EndRun(*record, outcome);
-      return;
-    }
-    case JournalVerdict::kMismatch:
-      GiveBack(aRun, ResultCode::kKeyReused);
-      return;
-    case JournalVerdict::kFull:
-      GiveBack(aRun, ResultCode::kJournalFull);
-      return;
-    case JournalVerdict::kUnavailable:
-      GiveBack(aRun, ResultCode::kJournalUnavailable);
-      return;
-  }
-}
-
-void
-AgentCore::AnswerFromJournal(RunId aRun, const JournalEntry& aEntry)
-{
-  WorkRecord& record = *m_work.Find(aRun);
-  Note("answered_from_journal", record.m_dispatch);
-  record.m_answer = aEntry.m_body;
-  record.m_end.m_httpStatus = aEntry.m_httpStatus;
-  record.m_end.m_contentType = aEntry.m_contentType;
-  record.m_end.m_length = record.m_answer.size();
-  // The run was charged when it happened.
-  BookCharge(record, 0);
-  m_work.Finish(record, m_timers.m_now());
-  std::vector<Reader> readers;
-  readers.swap(record.m_readers);
-  for (const Reader& reader : readers) {
-    AddReader(record, reader, 0);
-  }
-}
-
 void
 AgentCore::GiveBack(RunId aRun, ResultCode aCode)
 {
@@ -351,97 +245,6 @@
   }
 }
 
-void
-AgentCore::AttachKnown(PeerId aPeer,
-                       const Attach& aMessage,
-                       WorkRecord& aRecord)
-{
-  Note(
-    "attached", aRecord.m_dispatch, absl::StrCat("offset ", aMessage.m_offset));
-  auto holder = m_holders.find(aPeer);
-  const bool isOwn = aRecord.m_dispatch.m_attempt == aMessage.m_attempt &&
-                     holder != m_holders.end() &&
-                     holder->second == aRecord.m_dispatch.m_holder;
-  m_hooks.m_send(aPeer, Accepted{ aMessage.m_attempt, !isOwn, Load() });
-  AddReader(aRecord, { aPeer, aMessage.m_attempt }, aMessage.m_offset);
-}
-
-void
-AgentCore::Revoke(PeerId aPeer, const Attach& aMessage)
-{
-  WorkRecord* record = m_work.Find(aMessage.m_account, aMessage.m_key);
-  if (record == nullptr) {
-    Dispatch revoked;
-    revoked.m_account = aMessage.m_account;
-    revoked.m_key = aMessage.m_key;
-    record = &m_work.Add(revoked, WorkState::kRevoked, m_timers.m_now());
-  }
-  Dispatch& revoked = record->m_dispatch;
-  revoked.m_generation = std::max(revoked.m_generation, aMessage.m_generation);
-  Note("revoked", revoked);
-  m_hooks.m_send(aPeer, Refused{ aMessage.m_attempt, ResultCode::kRevoked });
-}
-
-void
-AgentCore::EarlyOver(const WorkTable::Name& aName)
-{
-  auto found = m_early.find(aName);
-  if (found == m_early.end()) {
-    return;
-  }
-  const std::vector<std::pair<PeerId, Attach>> early = std::move(found->second);
-  m_early.erase(found);
-  for (const auto& [peer, attach] : early) {
-    Revoke(peer, attach);
-  }
-}
-
-void
-AgentCore::AttachEarly(const WorkTable::Name& aName)
-{
-  auto found = m_early.find(aName);
-  if (found == m_early.end()) {
-    return;
-  }
-  const std::vector<std::pair<PeerId, Attach>> early = std::move(found->second);
-  m_early.erase(found);
-  for (const auto& [peer, attach] : early) {
-    if (WorkRecord* record = m_work.Find(aName.first, aName.second)) {
-      AttachKnown(peer, attach, *record);
-      continue;
-    }
-    Revoke(peer, attach);
-  }
-}
-
-void
-AgentCore::AddReader(WorkRecord& aRecord, Reader aReader, std::uint64_t aOffset)
-{
-  std::erase(aRecord.m_readers, aReader);
-  if (aOffset < aRecord.m_answer.size()) {
-    m_hooks.m_send(aReader.m_peer,
-                   AnswerData{ aReader.m_attempt,
-                               aOffset,
-                               aRecord.m_answer.substr(aOffset),
-                               TokensOf(aRecord),
-                               Load() });
-  }
-  if (aRecord.m_state == WorkState::kFinished) {
-    SendEnd(aRecord, aReader);
-    return;
-  }
-  aRecord.m_readers.push_back(aReader);
-}
-
-void
-AgentCore::SendEnd(const WorkRecord& aRecord, const Reader& aReader)
-{
-  AnswerEnd end = aRecord.m_end;
-  end.m_attempt = aReader.m_attempt;
-  end.m_load = Load();
-  m_hooks.m_send(aReader.m_peer, end);
-}
-
 void
 AgentCore::On(PeerId aPeer, const Cancel& aMessage)
 {
@@ -457,23 +260,6 @@
   }
 }
 
-void
-AgentCore::CancelIfUnread(WorkRecord& aRecord)
-{
-  // With a key the caller may ask again, and a call that may not repeat must
-  // not be cut short.
-  if (!aRecord.m_readers.empty() || aRecord.m_dispatch.m_keyed ||
-      !aRecord.m_dispatch.m_repeatable) {
-    return;
-  }
-  Note("cancelled", aRecord.m_dispatch);
-  if (aRecord.m_state == WorkState::kWaiting) {
-    GiveBack(aRecord.m_run, ResultCode::kCancelled);
-    return;
-  }
-  m_hooks.m_cancel(aRecord.m_run);
-}
-
 void
 AgentCore::OnUpstreamData(RunId aRun,
                           const std::string& aBytes,
@@ -490,7 +276,7 @@
     m_hooks.m_send(
       reader.m_peer,
       AnswerData{
-        reader.m_attempt, offset, aBytes, TokensOf(*record), Load() });
+        reader.m_attempt, offset, aBytes, record->TotalTokens(), Load() });
   }
 }
 
--- a/lib/Budget/LedgerWriter.cpp
+++ b/lib/Budget/LedgerWriter.cpp
@@ -2,16 +2,6 @@
 
 namespace bergamotpaddle {
 
-namespace {
-
-absl::Status
-SealedStatus()
-{
-  return absl::FailedPreconditionError("the holder is sealed; start a new one");
-}
-
-} // namespace
-
 LedgerWriter::LedgerWriter(HolderId aHolder,
                            KeyValueHooks aKeyValue,
                            TimerHooks aTimers,
--- a/lib/Budget/Values.cpp
+++ b/lib/Budget/Values.cpp
@@ -133,6 +133,12 @@
   }
 }
 
+absl::Status
+SealedStatus()
+{
+  return absl::FailedPreconditionError("the holder is sealed; start a new one");
+}
+
 std::string
 BudgetKey(const AccountId& aAccount)
 {
