Request timeout from the configuration; the connections gauge counts

Cause, found by reading as a newcomer: limits/request_timeout_ms was parsed and not used; the gauge http_connections was counted down and never up; result code 1009 spoke of repeated headers, which Pistache 0.0.5 does not show (it keeps the last). Ruled out: counting in onConnection (private in Pistache's handler and needed there).

--- a/include/bergamotpaddle/Net/HttpServer.h
+++ b/include/bergamotpaddle/Net/HttpServer.h
@@ -101,7 +101,7 @@
   /// The port bound.
   std::uint16_t Port() const;
 
-  /// Connections open now.
+  /// Connections open, counted once a second.
   std::size_t OpenConnections() const;
 
 private:
--- a/include/bergamotpaddle/Router/RequestTable.h
+++ b/include/bergamotpaddle/Router/RequestTable.h
@@ -51,7 +51,7 @@
   Duration m_claimTimeout = std::chrono::milliseconds(400);
   Duration m_placeTimeout =
     std::chrono::seconds(3); ///< For the place of an earlier try to come back.
-  Duration m_requestTimeout = std::chrono::seconds(120);
+
   std::size_t m_homes = 2;   ///< Homes asked for a caller's key.
   double m_retryShare = 0.2; ///< Retries for each request, on average.
   double m_retryBurst = 50;
--- a/lib/Net/HttpConnection.cpp
+++ b/lib/Net/HttpConnection.cpp
@@ -333,7 +333,10 @@
   // Left unread the timer would wake the reactor at once, for ever.
   Consume(m_sweepTimer);
   const auto now = std::chrono::steady_clock::now();
-  for (const auto& peer : getAllPeer()) {
+  const auto peers = getAllPeer();
+  *m_count += peers.size() - m_counted;
+  m_counted = peers.size();
+  for (const auto& peer : peers) {
     auto [entry, isNew] =
       m_connections.try_emplace(peer->getID(), Connection{ nullptr, now });
     Connection& connection = entry->second;
--- a/lib/Net/HttpConnection.h
+++ b/lib/Net/HttpConnection.h
@@ -127,6 +127,7 @@
   ReactorTimeouts m_timeouts;
   ReactorQueuePtr m_queue;
   int m_sweepTimer;
+  std::size_t m_counted = 0; ///< Own part of m_count.
   std::unordered_map<std::size_t, Connection>
     m_connections; ///< By peer number.
 };
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -63,11 +63,8 @@
 public:
   HTTP_PROTOTYPE(HttpHandler)
 
-  HttpHandler(const HttpServerOptions& aOptions,
-              HttpServer::Handler aHandler,
-              ConnectionCountPtr aCount)
+  HttpHandler(const HttpServerOptions& aOptions, HttpServer::Handler aHandler)
     : m_handler(std::move(aHandler))
-    , m_count(std::move(aCount))
   {
     setMaxRequestSize(aOptions.m_maxRequestBytes);
     setMaxResponseSize(kMaxResponseBytes);
@@ -92,7 +89,7 @@
   void onDisconnection(
     const std::shared_ptr<Pistache::Tcp::Peer>& aPeer) override
   {
-    m_count->fetch_sub(1);
+
     static_cast<ReactorTransport*>(transport())->PeerLeft(aPeer);
   }
 
@@ -100,7 +97,6 @@
   static constexpr std::size_t kMaxResponseBytes = 64U << 20U;
 
   HttpServer::Handler m_handler;
-  ConnectionCountPtr m_count;
 };
 
 class HttpServer::Impl
@@ -126,8 +122,7 @@
                       Pistache::Flags<Pistache::Tcp::Options>(
                         Pistache::Tcp::Options::ReuseAddr) |
                         Pistache::Tcp::Options::NoDelay);
-      auto handler =
-        std::make_shared<HttpHandler>(m_options, m_handler, m_count);
+      auto handler = std::make_shared<HttpHandler>(m_options, m_handler);
       m_listener.setTransportFactory([handler, this] {
         return std::make_shared<ReactorTransport>(
           handler,
--- a/lib/Router/RequestTable.cpp
+++ b/lib/Router/RequestTable.cpp
@@ -75,7 +75,9 @@
   m_retryCredit =
     std::min(m_options.m_retryBurst, m_retryCredit + m_options.m_retryShare);
   Note("request_begun", request, {});
-  m_timers.m_after(m_options.m_requestTimeout, [this, number] {
+  const Duration timeout = std::chrono::milliseconds(
+    m_hooks.m_configuration().m_limits.m_requestTimeoutMilliseconds);
+  m_timers.m_after(timeout, [this, number] {
     if (Request* late = Find(number)) {
       Fail(number,
            ResultCode::kDeadlineExceeded,
--- a/lib/Support/ResultCode.cpp
+++ b/lib/Support/ResultCode.cpp
@@ -55,7 +55,7 @@
                   "invalid_header",
                   400,
                   0,
-                  "A header is repeated or out of bounds." },
+                  "A header's value is not allowed." },
   ResultCodeInfo{ kKeyReused,
                   "idempotency_key_reused",
                   422,
