A placed request is never said to be not run, by rule rather than by accident

Cause, found by reading: while a request waits for the place of an earlier run, its time-out asked whether an attempt is current; the answer came out right only because the dropped attempt's number was not cleared. Ruled out: a fault that callers saw: the new test passes with and without the change. Done: a request keeps that a home names a place until that place disowns it.

--- a/include/bergamotpaddle/Router/RequestTable.h
+++ b/include/bergamotpaddle/Router/RequestTable.h
@@ -153,6 +153,7 @@
     std::uint64_t m_replacesGeneration = 0;
     int m_tries = 0;
     bool m_mayHaveRun = false; ///< Some attempt was lost.
+    bool m_isPlaced = false; ///< A home names a place that has not disowned it.
     ResultCode m_lastRefusal = ResultCode::kNoUpstream;
     std::string
       m_delivered; ///< The answer so far, for a run that continues it.
--- a/include/bergamotpaddle/Testing/FakeFleet.h
+++ b/include/bergamotpaddle/Testing/FakeFleet.h
@@ -44,6 +44,7 @@
   FakeUpstreamOptions m_upstream;
   std::uint64_t m_seed = 1;
   BalancerOptions m_balancer;
+  std::uint64_t m_requestTimeoutMilliseconds = 120'000;
   std::map<std::string, std::uint32_t> m_weights; ///< Of accounts; 1 if absent.
   std::vector<std::string> m_zones = { "z1", "z2" };
 };
--- a/lib/Router/RequestPlacement.cpp
+++ b/lib/Router/RequestPlacement.cpp
@@ -165,6 +165,7 @@
   if (verdict->m_verdict == ClaimVerdict::kPlaced) {
     DropAttempt(aAttempt);
     Note("placed_before", request, verdict->m_place);
+    request.m_isPlaced = true;
     AttachWhenUp(number, *verdict, m_timers.m_now());
     return;
   }
--- a/lib/Router/RequestTable.cpp
+++ b/lib/Router/RequestTable.cpp
@@ -202,6 +202,7 @@
   }
   Request& request = *Find(number);
   request.m_current = 0;
+  request.m_isPlaced = false;
   Note("attempt_refused",
        request,
        aFrom,
@@ -395,9 +396,10 @@
 RequestTable::Fail(RequestNumber aNumber, ResultCode aCode, Ran aRan)
 {
   const CallerHooks caller = Find(aNumber)->m_new.m_caller;
-  // Whatever the last attempt proves, a lost one may still run.
-  const Ran ran =
-    aRan == Ran::kNo && Find(aNumber)->m_mayHaveRun ? Ran::kUnknown : aRan;
+  // Whatever the last attempt proves, a lost or an earlier one may still run.
+  const Request& failing = *Find(aNumber);
+  const bool mayRun = failing.m_mayHaveRun || failing.m_isPlaced;
+  const Ran ran = aRan == Ran::kNo && mayRun ? Ran::kUnknown : aRan;
   ++m_counters.m_failed;
   Note("request_failed",
        *Find(aNumber),
--- a/lib/Testing/FakeFleet.cpp
+++ b/lib/Testing/FakeFleet.cpp
@@ -129,6 +129,8 @@
                                      { "repeatable", true },
                                      { "cost_tokens", kCallCost } } });
   const json content = {
+    { "limits",
+      { { "request_timeout_ms", m_options.m_requestTimeoutMilliseconds } } },
     { "accounts", accounts },
     { "pools", pools },
     { "models",
--- a/unittests/Fleet/KeptCasesTest.cpp
+++ b/unittests/Fleet/KeptCasesTest.cpp
@@ -103,3 +103,25 @@
     CHECK(kept.Judge().empty());
   }
 }
+
+TEST_CASE("a request that ran elsewhere is never said to be not run", "[kept]")
+{
+  FakeFleetOptions options = KeptFleet::MakeOptions();
+  options.m_requestTimeoutMilliseconds = 1000;
+  FakeFleet fleet(options);
+  Oracle oracle(fleet);
+  fleet.Time().Advance(milliseconds(2000));
+  oracle.Ask(0, "small", true, true, true, 1);
+  fleet.Time().Advance(milliseconds(300));
+  REQUIRE(oracle.Requests().front().m_answers == 1);
+  // Its place goes out of reach; the request times out before the router stops
+  // waiting for the place.
+  const std::string place = fleet.Runs().front().m_upstream;
+  fleet.Network().Cut("router-0", place);
+  fleet.Network().Cut(place, "router-0");
+  fleet.Time().Advance(milliseconds(2000));
+  oracle.AskAgain(0, 0);
+  fleet.Time().Advance(milliseconds(5000));
+  REQUIRE(oracle.Requests().front().m_failures.size() == 1);
+  CHECK(oracle.Requests().front().m_failures.front().m_ran == Ran::kUnknown);
+}
