--- a/include/bergamotpaddle/Router/KeyValueRelay.h
+++ b/include/bergamotpaddle/Router/KeyValueRelay.h
@@ -48,7 +48,7 @@
   };
 
   void Do(const KeyValueAsk& aOperation, EntryHook aDone);
-  void DoOwn(const KeyValueAsk& aOperation, EntryHook aDone);
+  void DoOwn(const KeyValueAsk& aOperation, const EntryHook& aDone);
   void DoThroughOther(KeyValueAsk aOperation, EntryHook aDone);
   void Finish(std::uint64_t aQuestion,
               const absl::StatusOr<KeyValueEntry>& aEntry);
--- a/include/bergamotpaddle/Support/Time.h
+++ b/include/bergamotpaddle/Support/Time.h
@@ -14,8 +14,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<EventClock>;
-  static constexpr bool is_steady =
-    true; // NOLINT(readability-identifier-naming): the standard's name
 };
 
 using Duration = EventClock::duration;
--- a/lib/Bench/Measures.cpp
+++ b/lib/Bench/Measures.cpp
@@ -417,6 +417,7 @@
   }
   std::map<std::string, std::uint64_t> spent;
   std::vector<const TraceResult*> byEnd;
+  byEnd.reserve(results.size());
   for (const TraceResult& result : results) {
     byEnd.push_back(&result);
   }
--- a/lib/Router/KeyValueRelay.cpp
+++ b/lib/Router/KeyValueRelay.cpp
@@ -92,7 +92,7 @@
 }
 
 void
-KeyValueRelay::DoOwn(const KeyValueAsk& aOperation, EntryHook aDone)
+KeyValueRelay::DoOwn(const KeyValueAsk& aOperation, const EntryHook& aDone)
 {
   auto revisionDone = [aDone](const absl::StatusOr<std::uint64_t>& aRevision) {
     aDone(aRevision.ok()
