FrameLinkTest: ports below the range that the system hands out

Cause: 39471 and 39472 can be taken by another program's outgoing connection, which would fail the test.

--- a/unittests/Net/FrameLinkTest.cpp
+++ b/unittests/Net/FrameLinkTest.cpp
@@ -46,7 +46,7 @@
   };
   serverHooks.m_closed = [](LinkId) {};
   LinkHub server("secret", executor, serverHooks);
-  const std::string address = "127.0.0.1:39471";
+  const std::string address = "127.0.0.1:19471";
   REQUIRE(server.Listen(address).ok());
 
   LinkHooks clientHooks;
@@ -86,7 +86,7 @@
   SECTION("an address where nobody listens is reported as closed")
   {
     LinkHub client("secret", executor, clientHooks);
-    client.Dial("127.0.0.1:39472");
+    client.Dial("127.0.0.1:19472");
     RunUntil(loop, [&] { return clientClosed == 1; });
     CHECK(serverOpened == 0);
   }
