Gateway: routers that forward directly, on the users' platform

Cause: the users' platform has no place for control and no disks, and its callers and servers speak HTTP of their own; the present router needs an agent beside each upstream. Ruled out: Pistache and libcurl on this path: three hand-overs between threads an event.

--- /dev/null
+++ b/include/bergamotpaddle/Forwarding/PeerLink.h
@@ -0,0 +1,69 @@
+/// \file
+/// Sends and takes the datagrams with which routers tell one another their
+/// load on upstreams.
+#pragma once
+
+#include "bergamotpaddle/Forwarding/GatewayState.h"
+#include "bergamotpaddle/Gateway/PeerDigest.h"
+
+#include <absl/status/status.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <map>
+#include <set>
+
+namespace bergamotpaddle {
+
+/// Pace of the datagrams.
+struct PeerLinkOptions
+{
+  /// Changes within this time leave in one datagram.
+  Duration m_coalesce = std::chrono::milliseconds(10);
+  /// A datagram leaves at least this often, as a sign of life.
+  Duration m_heartbeat = std::chrono::milliseconds(500);
+  /// A peer that was not heard for so long counts as out of reach.
+  Duration m_silence = std::chrono::milliseconds(1600);
+};
+
+/// The link to all peers.
+class PeerLink
+{
+public:
+  using Udp = boost::asio::ip::udp;
+  template<typename T>
+  using Awaitable = boost::asio::awaitable<T>;
+
+  PeerLink(boost::asio::io_context& aIo,
+           GatewayState& aState,
+           std::string aLife,
+           PeerLinkOptions aOptions = {});
+
+  absl::Status Start(const std::string& aAddress);
+
+  /// The routers to talk to, as IP:PORT, without this one.
+  void SetPeers(const std::set<std::string>& aAddresses);
+
+  /// Our load on \p aUpstream changed.
+  void NoteChanged(const UpstreamId& aUpstream,
+                   const std::vector<PromptPart>& aParts);
+
+  /// Peers heard of late, as IP:PORT.
+  std::vector<std::string> Reachable() const;
+
+private:
+  Awaitable<void> Receive();
+  Awaitable<void> Send();
+  std::string NextDigest();
+
+  boost::asio::io_context* m_io;
+  GatewayState* m_state;
+  std::string m_life;
+  PeerLinkOptions m_options;
+  Udp::socket m_socket;
+  std::map<Udp::endpoint, Instant> m_peers; ///< When each was heard last.
+  std::map<UpstreamId, std::set<std::uint64_t>> m_changed;
+  std::set<UpstreamId> m_toldLast; ///< Told again once: the end of a load.
+};
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -0,0 +1,153 @@
+/// \file
+/// Prepaid credit of one router without agents: what it may spend of each
+/// client account on its own, through any loss of the platform.
+///
+/// One shared record holds, for each account, what earlier lives may have
+/// spent and the most that each living router may ever have spent (its grant).
+/// The sum never exceeds what is prepaid, and a router spends only within its
+/// own grant, so no partition and no kill can overspend. A grant counts for
+/// spending only once a write of this router that holds it is confirmed: a
+/// value that was merely read could be undone by an older write of ours that
+/// the platform carries out late.
+#pragma once
+
+#include "bergamotpaddle/Support/Time.h"
+#include "bergamotpaddle/Support/TypedId.h"
+
+#include <absl/status/statusor.h>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace bergamotpaddle {
+
+/// A router as the shared record names it.
+struct CreditHolder
+{
+  std::string m_host;     ///< Stable over restarts: one process at a time.
+  HolderId m_life;        ///< This run of the process.
+  std::string m_address;  ///< Where other routers reach it.
+  auto operator<=>(const CreditHolder&) const = default;
+};
+
+/// One account in the shared record.
+struct AccountCredit
+{
+  std::uint64_t m_closed = 0; ///< Grants of lives that ended, taken as spent.
+  std::map<HolderId, std::uint64_t> m_grants;
+  auto operator<=>(const AccountCredit&) const = default;
+
+  std::uint64_t Committed() const;
+};
+
+/// The shared record.
+struct CreditRecord
+{
+  std::map<HolderId, CreditHolder> m_holders;
+  std::map<AccountId, AccountCredit> m_accounts;
+  auto operator<=>(const CreditRecord&) const = default;
+
+  std::string Encode() const;
+  /// Fails on anything that is not a whole record: credit is never guessed.
+  static absl::StatusOr<CreditRecord> Decode(const std::string& aText);
+};
+
+/// How much is held beyond what was spent.
+struct CreditOptions
+{
+  /// Demand that a grant covers without the platform. The longest loss of the
+  /// platform seen on the users' sites is 8.7 s.
+  Duration m_headroom = std::chrono::seconds(10);
+  /// Span of the moving average of demand.
+  Duration m_demandSpan = std::chrono::seconds(4);
+  /// Least headroom, in requests of the account's usual greatest size.
+  double m_minRequests = 6;
+  /// Part of a budget that all routers together hold before any demand.
+  double m_initialShare = 0.15;
+  /// Part of an account's free credit that one write may take.
+  double m_maxShareOfFree = 0.4;
+  /// A grant above the wanted one by this factor is lowered.
+  double m_returnAbove = 1.5;
+};
+
+/// What became of a request for credit.
+enum class CreditVerdict
+{
+  kAllotted,
+  kExhausted,  ///< Certain: the account's budget does not cover the request.
+  kOutOfReach, ///< Credit may exist but is not granted to this router.
+};
+
+/// The accounts of one router.
+class CreditBook
+{
+public:
+  CreditBook(CreditHolder aSelf, CreditOptions aOptions);
+
+  /// Sets an account's budget; an account that is not set has none.
+  void SetPrepaid(const AccountId& aAccount, std::uint64_t aTokens);
+
+  /// Sets aside \p aMost tokens for a request that is about to be sent.
+  CreditVerdict Allot(const AccountId& aAccount,
+                      std::uint64_t aMost,
+                      Instant aNow);
+
+  /// A request ended that was allotted \p aMost and used \p aUsed of it.
+  void Settle(const AccountId& aAccount,
+              std::uint64_t aMost,
+              std::uint64_t aUsed);
+
+  /// Whether the shared record should be written soon: some account has less
+  /// than half of its headroom left.
+  bool IsShort(Instant aNow) const;
+
+  /// The record that this router wants, given the one that is \p aPresent, or
+  /// nullopt if nothing is worth a write. From here until `Confirm` or `Drop`
+  /// spending stays within both the old and the new grants.
+  std::optional<CreditRecord> Plan(const CreditRecord& aPresent, Instant aNow);
+
+  /// The planned record was written for certain.
+  void Confirm();
+  /// The planned record was not written, or nobody knows.
+  void Drop();
+
+  /// Tokens that may still be allotted for \p aAccount.
+  std::uint64_t Spendable(const AccountId& aAccount) const;
+
+private:
+  /// One account as this router sees it.
+  struct Balance
+  {
+    std::uint64_t m_prepaid = 0;
+    std::uint64_t m_granted = 0;  ///< Confirmed.
+    std::uint64_t m_planned = 0;  ///< In the write under way.
+    bool m_hasPlan = false;
+    std::uint64_t m_spent = 0;    ///< Settled.
+    std::uint64_t m_allotted = 0; ///< Set aside for requests under way.
+    std::uint64_t m_freeAtLastRead = 0; ///< Not granted to anyone.
+    bool m_wasRead = false;
+    double m_demandRate = 0;      ///< Tokens a second, moving average.
+    double m_usualRequest = 0;    ///< Greatest size, moving average.
+    std::optional<Instant> m_lastDemand;
+
+    std::uint64_t Limit() const;
+    std::uint64_t Used() const { return m_spent + m_allotted; }
+  };
+
+  double RateAt(const Balance& aBalance, Instant aNow) const;
+  void NoteDemand(Balance& aBalance, std::uint64_t aTokens, Instant aNow) const;
+  std::uint64_t Headroom(const Balance& aBalance, Instant aNow) const;
+  std::uint64_t WantedGrant(const Balance& aBalance,
+                            std::uint64_t aFree,
+                            Instant aNow) const;
+  /// Takes grants of earlier lives of this host as spent; true if any were.
+  bool CloseEarlierLives(CreditRecord& aRecord) const;
+
+  CreditHolder m_self;
+  CreditOptions m_options;
+  std::size_t m_holders = 1; ///< In the record read last.
+  std::map<AccountId, Balance> m_balances;
+};
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/lib/Forwarding/CallerConnection.cpp
@@ -0,0 +1,373 @@
+#include "bergamotpaddle/Forwarding/CallerConnection.h"
+#include "bergamotpaddle/Support/Text.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace bergamotpaddle {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+using ErrorCode = boost::system::error_code;
+using RequestParser = http::request_parser<http::string_body>;
+
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+/// How long a caller may take to read a last answer.
+constexpr Duration kGentleClose = std::chrono::milliseconds(500);
+/// Statuses after which callers come back when told.
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+
+auto
+Into(ErrorCode& aError)
+{
+  return asio::redirect_error(asio::use_awaitable, aError);
+}
+
+std::string
+Text(boost::string_view aView)
+{
+  return { aView.data(), aView.size() };
+}
+
+/// Whether the framing fields can be read in one way only. The parser itself
+/// refuses a length beside chunks and lengths that differ.
+bool
+IsFramingPlain(const http::fields& aFields)
+{
+  const auto codings = aFields.equal_range(http::field::transfer_encoding);
+  for (auto it = codings.first; it != codings.second; ++it) {
+    if (!IsField(Text(it->value()), "chunked")) {
+      return false;
+    }
+  }
+  return aFields.count(http::field::transfer_encoding) <= 1 &&
+         aFields.count(http::field::content_length) <= 1 &&
+         aFields.count(http::field::host) == 1;
+}
+
+OwnAnswer
+Rejection(const ErrorCode& aError)
+{
+  if (aError == http::error::body_limit) {
+    return { 413, ResultCode::kBodyTooLarge, "the body is too long", {} };
+  }
+  if (aError == http::error::header_limit ||
+      aError == http::error::buffer_overflow) {
+    return { 431, ResultCode::kInvalidHeader, "the head is too long", {} };
+  }
+  return { 400,
+           ResultCode::kMalformedRequest,
+           Cat("the request cannot be read: ", aError.message()),
+           {} };
+}
+
+std::string
+RetryAfterText(Duration aDuration)
+{
+  constexpr double kMillisecondsPerSecond = 1000;
+  const double milliseconds = std::round(
+    std::chrono::duration<double, std::milli>(aDuration).count());
+  return Cat(milliseconds / kMillisecondsPerSecond);
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(Socket aSocket, GatewayState& aState)
+  : m_socket(std::move(aSocket))
+  , m_state(&aState)
+{
+}
+
+CallerConnection::~CallerConnection()
+{
+  m_state->m_bufferedBodies -= m_bodyCharge;
+}
+
+CallerConnection::Awaitable<bool>
+CallerConnection::WaitForBytes()
+{
+  m_isIdle = true;
+  if (m_buffer.size() == 0) {
+    m_waitUntil = m_state->Now() + (m_state->m_routes
+                                      ? m_state->m_routes->Limits().m_idleTimeout
+                                      : CallerLimits().m_idleTimeout);
+    ErrorCode error;
+    co_await m_socket.async_wait(Socket::wait_read, Into(error));
+    if (error) {
+      co_return false;
+    }
+  }
+  m_isIdle = false;
+  co_return true;
+}
+
+CallerConnection::Awaitable<ReadEnd>
+CallerConnection::ReadRequest()
+{
+  m_state->m_bufferedBodies -= std::exchange(m_bodyCharge, 0);
+  m_request = {};
+  m_hasBegunAnswer = false;
+  if (!m_isOpen || !co_await WaitForBytes()) {
+    co_return ReadEnd::kClosed;
+  }
+  const CallerLimits limits =
+    m_state->m_routes ? m_state->m_routes->Limits() : CallerLimits{};
+  RequestParser parser;
+  parser.header_limit(limits.m_maxHeaderBytes);
+  parser.body_limit(limits.m_maxBodyBytes);
+  ErrorCode error;
+  const Instant begun = m_state->Now();
+  m_waitUntil = begun + limits.m_headerTimeout;
+  co_await http::async_read_header(m_socket, m_buffer, parser, Into(error));
+  if (!error && m_state->m_bufferedBodies > m_state->m_options.m_maxBufferedBodies) {
+    const OwnAnswer refusal{ kUnavailable,
+                             ResultCode::kOverloaded,
+                             "too many bodies are in memory",
+                             std::chrono::milliseconds(500) };
+    co_await SendOwn(refusal);
+    co_return ReadEnd::kRejected;
+  }
+  if (!error && !IsFramingPlain(parser.get().base())) {
+    error = http::error::bad_field;
+  }
+  if (!error) {
+    m_waitUntil = m_state->Now() + m_state->m_options.m_bodyTimeout;
+    if (parser.get().count(http::field::expect) != 0 && !parser.is_done()) {
+      std::string interim(kContinue);
+      co_await Write(std::move(interim));
+    }
+    co_await http::async_read(m_socket, m_buffer, parser, Into(error));
+  }
+  m_waitUntil.reset();
+  if (error == http::error::end_of_stream) {
+    co_return ReadEnd::kClosed;
+  }
+  if (error) {
+    const bool isBroken = error.category() != make_error_code(http::error::bad_field).category();
+    if (!isBroken) {
+      m_keepAlive = false;
+      const OwnAnswer rejection = Rejection(error);
+      co_await SendOwn(rejection);
+    } else if (!m_socket.is_open()) {
+      co_return ReadEnd::kClosed;
+    }
+    co_return isBroken ? ReadEnd::kClosed : ReadEnd::kRejected;
+  }
+  auto message = parser.release();
+  m_keepAlive = message.keep_alive() && !m_state->m_isStopping;
+  m_isHttp10 = message.version() < 11;
+  m_isHeadRequest = message.method() == http::verb::head;
+  m_request.m_method = Text(message.method_string());
+  m_request.m_target = Text(message.target());
+  for (const auto& field : message) {
+    m_request.m_fields.emplace_back(Text(field.name_string()),
+                                    Text(field.value()));
+  }
+  m_request.m_body = std::move(message.body());
+  m_bodyCharge = m_request.m_body.size();
+  m_state->m_bufferedBodies += m_bodyCharge;
+  co_return ReadEnd::kRequest;
+}
+
+CallerConnection::Awaitable<void>
+CallerConnection::Write(std::string aBytes)
+{
+  ErrorCode error;
+  co_await asio::async_write(m_socket, asio::buffer(aBytes), Into(error));
+  if (error) {
+    Close();
+  }
+}
+
+std::string
+CallerConnection::HeadOf(int aStatus,
+                         std::string_view aReason,
+                         const FieldList& aFields) const
+{
+  std::string head = Cat("HTTP/1.1 ", aStatus, " ", aReason, "\r\n");
+  for (const auto& [name, value] : aFields) {
+    Append(head, name, ": ", value, "\r\n");
+  }
+  if (!m_keepAlive || m_state->m_isStopping) {
+    head += "Connection: close\r\n";
+  }
+  return head;
+}
+
+CallerConnection::Awaitable<void>
+CallerConnection::SendOwn(const OwnAnswer& aAnswer)
+{
+  const std::string body =
+    nlohmann::json{ { "error",
+                      { { "code", static_cast<int>(aAnswer.m_code) },
+                        { "name", std::string(Describe(aAnswer.m_code).m_name) },
+                        { "message", aAnswer.m_why } } } }
+      .dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+  FieldList fields = { { "Content-Type", "application/json" } };
+  const bool isRefusal =
+    aAnswer.m_status == kUnavailable || aAnswer.m_status == kTooManyRequests;
+  if (isRefusal && aAnswer.m_retryAfter.count() > 0) {
+    fields.emplace_back("Retry-After", RetryAfterText(aAnswer.m_retryAfter));
+  }
+  UpstreamAnswer answer;
+  answer.m_status = aAnswer.m_status;
+  answer.m_reason = Text(http::obsolete_reason(
+    http::int_to_status(static_cast<unsigned>(aAnswer.m_status))));
+  answer.m_passedFields = std::move(fields);
+  co_await SendWhole(answer, body);
+}
+
+CallerConnection::Awaitable<void>
+CallerConnection::SendWhole(const UpstreamAnswer& aAnswer,
+                            const std::string& aBody)
+{
+  m_hasBegunAnswer = true;
+  const bool isClosing = !m_keepAlive || m_state->m_isStopping;
+  std::string bytes =
+    HeadOf(aAnswer.m_status, aAnswer.m_reason, aAnswer.m_passedFields);
+  Append(bytes, "Content-Length: ", aBody.size(), "\r\n\r\n");
+  if (!m_isHeadRequest) {
+    bytes += aBody;
+  }
+  co_await Write(std::move(bytes));
+  if (isClosing) {
+    m_isOpen = false;
+  }
+}
+
+CallerConnection::Awaitable<void>
+CallerConnection::BeginStream(const UpstreamAnswer& aAnswer,
+                              const std::string& aFirstEvents)
+{
+  m_hasBegunAnswer = true;
+  if (m_isHttp10 || m_state->m_isStopping) {
+    m_keepAlive = false;
+  }
+  std::string bytes =
+    HeadOf(aAnswer.m_status, aAnswer.m_reason, aAnswer.m_passedFields);
+  bytes += m_isHttp10 ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n";
+  if (!aFirstEvents.empty()) {
+    m_isHttp10 ? Append(bytes, aFirstEvents)
+               : Append(bytes,
+                                 Hex(aFirstEvents.size()),
+                                 "\r\n",
+                                 aFirstEvents,
+                                 "\r\n");
+  }
+  co_await Write(std::move(bytes));
+}
+
+CallerConnection::Awaitable<void>
+CallerConnection::SendEvents(const std::string& aEvents)
+{
+  if (aEvents.empty()) {
+    co_return;
+  }
+  std::string bytes =
+    m_isHttp10 ? aEvents
+               : Cat(Hex(aEvents.size()), "\r\n", aEvents, "\r\n");
+  co_await Write(std::move(bytes));
+}
+
+CallerConnection::Awaitable<void>
+CallerConnection::EndStream()
+{
+  if (!m_isHttp10) {
+    std::string lastChunk(kLastChunk);
+    co_await Write(std::move(lastChunk));
+  }
+  if (!m_keepAlive) {
+    m_isOpen = false;
+  }
+}
+
+void
+CallerConnection::WatchForLeaving(std::function<void()> aOnGone)
+{
+  m_onGone = std::move(aOnGone);
+  if (m_buffer.size() != 0) {
+    return; // The next request is here already: the caller has not left.
+  }
+  const std::uint64_t watch = ++m_watch;
+  m_socket.async_wait(Socket::wait_read,
+                      [this, watch, life = std::weak_ptr<bool>(m_life)](
+                        const ErrorCode& aError) {
+                        if (!life.expired() &&
+                            aError != asio::error::operation_aborted) {
+                          CheckForLeaving(watch);
+                        }
+                      });
+}
+
+void
+CallerConnection::CheckForLeaving(std::uint64_t aWatch)
+{
+  if (aWatch != m_watch || !m_onGone) {
+    return;
+  }
+  ErrorCode error;
+  char byte = 0;
+  m_socket.non_blocking(true, error);
+  const std::size_t count = m_socket.receive(
+    asio::buffer(&byte, 1), Socket::message_peek, error);
+  const bool isStillThere =
+    error == asio::error::would_block || (!error && count > 0);
+  if (!isStillThere) {
+    auto onGone = std::exchange(m_onGone, nullptr);
+    onGone();
+  }
+}
+
+void
+CallerConnection::StopWatching()
+{
+  m_onGone = nullptr;
+  ++m_watch;
+  ErrorCode ignored;
+  m_socket.cancel(ignored);
+}
+
+CallerConnection::Awaitable<void>
+CallerConnection::CloseGently()
+{
+  // Closing with unread bytes resets the connection, which can take the answer
+  // from the caller: read on for a moment.
+  ErrorCode error;
+  m_socket.shutdown(Socket::shutdown_send, error);
+  m_waitUntil = m_state->Now() + kGentleClose;
+  std::array<char, 4096> discarded{};
+  while (!error) {
+    co_await m_socket.async_read_some(asio::buffer(discarded), Into(error));
+  }
+  m_waitUntil.reset();
+  Close();
+}
+
+void
+CallerConnection::Tick(Instant aNow)
+{
+  if (m_waitUntil && aNow >= *m_waitUntil) {
+    m_waitUntil.reset();
+    Close();
+  }
+}
+
+void
+CallerConnection::Close()
+{
+  m_isOpen = false;
+  ErrorCode ignored;
+  m_socket.close(ignored);
+}
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/lib/Forwarding/GatewayServer.cpp
@@ -0,0 +1,345 @@
+#include "bergamotpaddle/Forwarding/GatewayServer.h"
+
+#include "bergamotpaddle/Forwarding/Endpoint.h"
+#include "bergamotpaddle/Metrics/MetricsText.h"
+#include "bergamotpaddle/Support/Text.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+
+namespace bergamotpaddle {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+using ErrorCode = boost::system::error_code;
+
+constexpr int kBacklog = 1024;
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+/// Pause after a connection could not be taken, such as for want of
+/// descriptors.
+constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+/// How often the log is handed to its output.
+constexpr Duration kLogInterval = std::chrono::milliseconds(200);
+
+auto
+Into(ErrorCode& aError)
+{
+  return asio::redirect_error(asio::use_awaitable, aError);
+}
+
+} // namespace
+
+GatewayServer::GatewayServer(asio::io_context& aIo,
+                             GatewayState& aState,
+                             GatewayServerOptions aOptions)
+  : m_io(&aIo)
+  , m_state(&aState)
+  , m_options(std::move(aOptions))
+  , m_callers(aIo)
+{
+}
+
+absl::Status
+GatewayServer::Listen(Tcp::acceptor& aAcceptor, const std::string& aAddress)
+{
+  const absl::StatusOr<Tcp::endpoint> endpoint = ParseEndpoint(aAddress);
+  if (!endpoint.ok()) {
+    return endpoint.status();
+  }
+  try {
+    aAcceptor.open(endpoint->protocol());
+    aAcceptor.set_option(Tcp::acceptor::reuse_address(true));
+    aAcceptor.bind(*endpoint);
+    aAcceptor.listen(kBacklog);
+  } catch (const boost::system::system_error& error) {
+    return absl::UnavailableError(
+      Cat("cannot listen on ", aAddress, ": ", error.what()));
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+GatewayServer::Start()
+{
+  if (absl::Status status = Listen(m_callers, m_options.m_callerAddress);
+      !status.ok()) {
+    return status;
+  }
+  asio::co_spawn(*m_io, AcceptCallers(), asio::detached);
+  asio::co_spawn(*m_io, Ticks(), asio::detached);
+  const PageHook ready = [this](std::string_view) {
+    return std::pair(IsReady() ? kOk : kUnavailable, std::string());
+  };
+  const PageHook metrics = [this](std::string_view aPath) {
+    return aPath.starts_with("/metrics")
+             ? std::pair(kOk, MetricsPage())
+             : std::pair(kNotFound, std::string("try /metrics\n"));
+  };
+  const std::array<std::pair<std::string, PageHook>, 2> pages = {
+    std::pair(m_options.m_readyAddress, ready),
+    std::pair(m_options.m_metricsAddress, metrics)
+  };
+  for (const auto& [address, page] : pages) {
+    if (address.empty()) {
+      continue;
+    }
+    auto acceptor = std::make_shared<Tcp::acceptor>(*m_io);
+    if (absl::Status status = Listen(*acceptor, address); !status.ok()) {
+      return status;
+    }
+    asio::co_spawn(*m_io, AcceptPages(acceptor, page), asio::detached);
+  }
+  return absl::OkStatus();
+}
+
+bool
+GatewayServer::IsReady() const
+{
+  return !m_state->m_isStopping && m_state->m_routes != nullptr &&
+         m_state->m_upstreams.Size() > 0;
+}
+
+GatewayServer::Awaitable<void>
+GatewayServer::AcceptCallers()
+{
+  while (m_callers.is_open()) {
+    ErrorCode error;
+    Tcp::socket socket(*m_io);
+    co_await m_callers.async_accept(socket, Into(error));
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      m_state->Log(LogLine("accept.failed").Text("why", error.message()));
+      asio::steady_timer pause(*m_io, kAcceptPause);
+      co_await pause.async_wait(Into(error));
+      continue;
+    }
+    socket.set_option(Tcp::no_delay(true), error);
+    const SessionId id = m_nextSession++;
+    m_sessions[id].m_caller =
+      std::make_unique<CallerConnection>(std::move(socket), *m_state);
+    asio::co_spawn(*m_io, ServeSession(id), asio::detached);
+  }
+}
+
+GatewayServer::Awaitable<void>
+GatewayServer::ServeSession(SessionId aId)
+{
+  Session& session = m_sessions.at(aId);
+  CallerConnection& caller = *session.m_caller;
+  ReadEnd end = ReadEnd::kClosed;
+  while (caller.IsOpen()) {
+    end = co_await caller.ReadRequest();
+    if (end != ReadEnd::kRequest) {
+      break;
+    }
+    session.m_run =
+      std::make_unique<RequestRun>(*m_state, caller, m_io->get_executor());
+    co_await session.m_run->Serve();
+    session.m_run.reset();
+  }
+  if (end != ReadEnd::kClosed) {
+    co_await caller.CloseGently();
+  }
+  m_sessions.erase(aId);
+}
+
+GatewayServer::Awaitable<void>
+GatewayServer::AcceptPages(std::shared_ptr<Tcp::acceptor> aAcceptor,
+                           PageHook aPage)
+{
+  while (true) {
+    ErrorCode error;
+    Tcp::socket socket(*m_io);
+    co_await aAcceptor->async_accept(socket, Into(error));
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      asio::steady_timer pause(*m_io, kAcceptPause);
+      co_await pause.async_wait(Into(error));
+      continue;
+    }
+    asio::co_spawn(
+      *m_io, ServePage(std::move(socket), aPage), asio::detached);
+  }
+}
+
+GatewayServer::Awaitable<void>
+GatewayServer::ServePage(Tcp::socket aSocket, PageHook aPage)
+{
+  beast::flat_buffer buffer;
+  ErrorCode error;
+  while (!error) {
+    http::request<http::empty_body> request;
+    co_await http::async_read(aSocket, buffer, request, Into(error));
+    if (error) {
+      break;
+    }
+    const auto [status, text] =
+      aPage(std::string_view(request.target().data(), request.target().size()));
+    http::response<http::string_body> response(
+      http::int_to_status(static_cast<unsigned>(status)), request.version());
+    response.set(http::field::content_type, "text/plain");
+    response.keep_alive(request.keep_alive());
+    response.body() = text;
+    response.prepare_payload();
+    co_await http::async_write(aSocket, response, Into(error));
+    if (!request.keep_alive()) {
+      break;
+    }
+  }
+}
+
+GatewayServer::Awaitable<void>
+GatewayServer::Ticks()
+{
+  asio::steady_timer timer(*m_io);
+  Instant logDue = m_state->Now();
+  while (true) {
+    ErrorCode error;
+    timer.expires_after(m_state->m_options.m_tick);
+    co_await timer.async_wait(Into(error));
+    const Instant now = m_state->Now();
+    for (auto& [id, session] : m_sessions) {
+      session.m_caller->Tick(now);
+      if (session.m_run) {
+        session.m_run->Tick(now);
+      }
+    }
+    if (now >= logDue) {
+      m_state->m_log->Flush();
+      logDue = now + kLogInterval;
+    }
+    CheckStop(now);
+  }
+}
+
+void
+GatewayServer::BeginStop(std::function<void()> aOnStopped)
+{
+  if (m_state->m_isStopping) {
+    return;
+  }
+  m_state->m_isStopping = true;
+  m_stopSince = m_state->Now();
+  m_onStopped = std::move(aOnStopped);
+}
+
+void
+GatewayServer::CheckStop(Instant aNow)
+{
+  if (!m_stopSince) {
+    return;
+  }
+  const Duration passed = aNow - *m_stopSince;
+  if (passed < m_options.m_acceptAfterStop) {
+    return;
+  }
+  if (m_callers.is_open()) {
+    m_callers.close();
+    for (auto& [id, session] : m_sessions) {
+      if (session.m_caller->IsIdle()) {
+        session.m_caller->Close();
+      }
+    }
+  }
+  // Leaves a moment before the platform ends the process by force.
+  constexpr Duration kBeforeForce = std::chrono::milliseconds(200);
+  const bool isDone = m_state->m_requestsUnderWay == 0 && m_sessions.empty();
+  if ((isDone || passed > m_options.m_grace - kBeforeForce) && m_onStopped) {
+    std::exchange(m_onStopped, nullptr)();
+  }
+}
+
+std::string
+GatewayServer::MetricsPage() const
+{
+  const GatewayCounters& counters = m_state->m_counters;
+  MetricsText text;
+  text.Family("bergamotpaddle_requests_total",
+              "counter",
+              "Requests of callers by how they ended.");
+  for (const auto& [code, count] : counters.m_ends) {
+    text.Sample(static_cast<double>(count),
+                { { "code", std::string(Describe(code).m_name) } });
+  }
+  const auto single = [&text](const char* aName,
+                              const char* aType,
+                              const char* aHelp,
+                              std::uint64_t aValue) {
+    text.Single(aName, aType, aHelp, static_cast<double>(aValue));
+  };
+  single("bergamotpaddle_retries_total",
+         "counter",
+         "Requests sent to a further upstream after one that had them.",
+         counters.m_retries);
+  single("bergamotpaddle_streams_resumed_total",
+         "counter",
+         "Streams that went on at another upstream.",
+         counters.m_resumed);
+  single("bergamotpaddle_answers_spoiled_total",
+         "counter",
+         "Upstreams' answers that were not passed on.",
+         counters.m_spoiledAnswers);
+  single("bergamotpaddle_events_total",
+         "counter",
+         "Events of streams passed on.",
+         counters.m_events);
+  single("bergamotpaddle_log_lines_dropped_total",
+         "counter",
+         "Log lines beyond the bounds.",
+         m_state->m_log->Dropped());
+  single("bergamotpaddle_connections",
+         "gauge",
+         "Open connections of callers.",
+         m_sessions.size());
+  single("bergamotpaddle_requests_under_way",
+         "gauge",
+         "Requests being served.",
+         m_state->m_requestsUnderWay);
+  single("bergamotpaddle_config_version",
+         "gauge",
+         "Version of the configuration in force.",
+         m_state->m_routes ? m_state->m_routes->Version() : 0);
+  single("bergamotpaddle_upstreams",
+         "gauge",
+         "Upstreams known.",
+         m_state->m_upstreams.Size());
+  const std::array<std::pair<const char*, const LatencyHistogram*>, 2>
+    histograms = {
+      std::pair("bergamotpaddle_first_event_seconds", &counters.m_firstByte),
+      std::pair("bergamotpaddle_request_seconds", &counters.m_whole)
+    };
+  for (const auto& [name, histogram] : histograms) {
+    text.Family(Cat(name, "_bucket"), "counter", "Latency classes.");
+    const auto sums = histogram->Cumulative();
+    for (std::size_t i = 0; i < sums.size(); ++i) {
+      const double bound = LatencyHistogram::kBoundsMs[i] / 1000.0;
+      text.Sample(static_cast<double>(sums[i]),
+                  { { "le", Cat(bound) } });
+    }
+    text.Sample(static_cast<double>(histogram->Count()), { { "le", "+Inf" } });
+    text.Single(Cat(name, "_count"),
+                "counter",
+                "Values noted.",
+                static_cast<double>(histogram->Count()));
+    text.Single(Cat(name, "_sum"),
+                "counter",
+                "Sum of the values noted.",
+                histogram->SumSeconds());
+  }
+  return text.Text();
+}
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/lib/Forwarding/GatewayState.cpp
@@ -0,0 +1,65 @@
+#include "bergamotpaddle/Forwarding/GatewayState.h"
+
+#include <algorithm>
+
+namespace bergamotpaddle {
+
+void
+LatencyHistogram::Note(Duration aValue)
+{
+  const double milliseconds =
+    std::chrono::duration<double, std::milli>(aValue).count();
+  const auto bound =
+    std::lower_bound(kBoundsMs.begin(), kBoundsMs.end(), milliseconds);
+  ++m_counts[static_cast<std::size_t>(bound - kBoundsMs.begin())];
+  ++m_count;
+  m_sumSeconds += std::chrono::duration<double>(aValue).count();
+}
+
+std::array<std::uint64_t, LatencyHistogram::kBoundsMs.size()>
+LatencyHistogram::Cumulative() const
+{
+  std::array<std::uint64_t, kBoundsMs.size()> sums{};
+  std::uint64_t sum = 0;
+  for (std::size_t i = 0; i < sums.size(); ++i) {
+    sum += m_counts[i];
+    sums[i] = sum;
+  }
+  return sums;
+}
+
+GatewayState::GatewayState(WireDialect aDialect,
+                           PlacementOptions aPlacement,
+                           CreditHolder aSelf,
+                           RetryBudgetOptions aRetries,
+                           EventLog& aLog)
+  : m_dialect(std::move(aDialect))
+  , m_placement(std::move(aPlacement))
+  , m_credit(std::move(aSelf), CreditOptions{})
+  , m_retries(aRetries)
+  , m_log(&aLog)
+{
+}
+
+Instant
+GatewayState::Now() const
+{
+  return Instant(std::chrono::duration_cast<Duration>(
+    std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+std::int64_t
+GatewayState::UnixMs() const
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+void
+GatewayState::Log(const LogLine& aLine, bool aIsVital)
+{
+  m_log->Write(aLine, Now(), UnixMs(), aIsVital);
+}
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/lib/Forwarding/UpstreamExchange.cpp
@@ -0,0 +1,132 @@
+#include "bergamotpaddle/Forwarding/UpstreamExchange.h"
+
+#include "bergamotpaddle/Forwarding/Endpoint.h"
+#include "bergamotpaddle/Support/Text.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace bergamotpaddle {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+using ErrorCode = boost::system::error_code;
+
+constexpr int kFirstFinalStatus = 200;
+
+auto
+Into(ErrorCode& aError)
+{
+  return asio::redirect_error(asio::use_awaitable, aError);
+}
+
+std::string
+Text(boost::string_view aView)
+{
+  return { aView.data(), aView.size() };
+}
+
+} // namespace
+
+UpstreamExchange::UpstreamExchange(const asio::any_io_executor& aExecutor)
+  : m_socket(aExecutor)
+{
+}
+
+UpstreamExchange::Awaitable<bool>
+UpstreamExchange::Connect(std::string aAddress)
+{
+  const auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint.ok()) {
+    co_return false;
+  }
+  ErrorCode error;
+  co_await m_socket.async_connect(*endpoint, Into(error));
+  if (error || m_aborted != AbortReason::kNone) {
+    co_return false;
+  }
+  m_socket.set_option(asio::ip::tcp::no_delay(true), error);
+  co_return true;
+}
+
+void
+UpstreamExchange::BeginSending(std::string aHead,
+                               std::shared_ptr<const std::string> aBody)
+{
+  auto send = [](std::shared_ptr<UpstreamExchange> aSelf,
+                 std::string aHead,
+                 std::shared_ptr<const std::string> aBody) -> Awaitable<void> {
+    ErrorCode error;
+    const std::array<asio::const_buffer, 2> buffers = { asio::buffer(aHead),
+                                                        asio::buffer(*aBody) };
+    // A failure shows where the answer is read.
+    co_await asio::async_write(aSelf->m_socket, buffers, Into(error));
+  };
+  asio::co_spawn(m_socket.get_executor(),
+                 send(shared_from_this(), std::move(aHead), std::move(aBody)),
+                 asio::detached);
+}
+
+UpstreamExchange::Awaitable<std::optional<UpstreamExchange::Head>>
+UpstreamExchange::ReadHead(bool aIsHeadRequest)
+{
+  ErrorCode error;
+  do {
+    m_parser.emplace();
+    m_parser->body_limit(boost::none);
+    m_parser->skip(aIsHeadRequest);
+    co_await http::async_read_header(
+      m_socket, m_buffer, *m_parser, Into(error));
+  } while (!error && m_parser->get().result_int() < kFirstFinalStatus);
+  if (error) {
+    co_return std::nullopt;
+  }
+  Head head;
+  head.m_status = static_cast<int>(m_parser->get().result_int());
+  head.m_reason = Text(m_parser->get().reason());
+  for (const auto& field : m_parser->get()) {
+    head.m_fields.emplace_back(Text(field.name_string()), Text(field.value()));
+  }
+  m_isWhole = m_parser->is_done();
+  co_return head;
+}
+
+UpstreamExchange::Awaitable<std::string>
+UpstreamExchange::ReadBody()
+{
+  std::string bytes;
+  ErrorCode error;
+  while (bytes.empty() && !m_parser->is_done() && !error) {
+    co_await http::async_read_some(m_socket, m_buffer, *m_parser, Into(error));
+    bytes.swap(m_parser->get().body());
+  }
+  // An answer without a length ends whole where the connection does, unless
+  // that was reset.
+  m_isWhole = m_parser->is_done() && !error && m_aborted == AbortReason::kNone;
+  co_return bytes;
+}
+
+void
+UpstreamExchange::Abort(AbortReason aReason)
+{
+  if (m_aborted == AbortReason::kNone) {
+    m_aborted = aReason;
+  }
+  Close();
+}
+
+void
+UpstreamExchange::Close()
+{
+  ErrorCode ignored;
+  m_socket.close(ignored);
+}
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/lib/Gateway/Placement.cpp
@@ -0,0 +1,221 @@
+#include "bergamotpaddle/Gateway/Placement.h"
+
+#include "bergamotpaddle/Support/Hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bergamotpaddle {
+
+namespace {
+
+constexpr std::uint64_t kMixer = 0x9E3779B97F4A7C15ULL;
+
+/// Mixes two hashes; both are well mixed already.
+std::uint64_t
+Combine(std::uint64_t aLeft, std::uint64_t aRight)
+{
+  std::uint64_t mixed = (aLeft ^ (aRight * kMixer)) * kMixer;
+  mixed ^= mixed >> 29U;
+  return mixed * kMixer;
+}
+
+Duration
+Scale(Duration aDuration, double aFactor)
+{
+  return Duration(
+    static_cast<Duration::rep>(static_cast<double>(aDuration.count()) *
+                               aFactor));
+}
+
+/// The deepest part that other requests share: the last belongs to the
+/// request alone.
+std::uint64_t
+LocalityKey(const std::vector<PromptPart>& aParts)
+{
+  if (aParts.empty()) {
+    return 0;
+  }
+  return aParts[aParts.size() > 1 ? aParts.size() - 2 : 0].m_id;
+}
+
+} // namespace
+
+Placement::Placement(PlacementOptions aOptions)
+  : m_options(std::move(aOptions))
+{
+}
+
+bool
+Placement::IsHeavy(const PlacementRequest& aRequest) const
+{
+  double tokens = 0;
+  for (const PromptPart& part : aRequest.m_parts) {
+    tokens += part.m_tokens;
+  }
+  const double milliseconds = tokens / m_options.m_prefillTokensPerMs;
+  return Duration(static_cast<Duration::rep>(milliseconds * 1000)) >
+         m_options.m_heavyPrefill;
+}
+
+std::size_t
+Placement::LightPart(const UpstreamView& aView,
+                     const std::vector<const UpstreamState*>& aUpstreams,
+                     Instant aNow) const
+{
+  double streams = 0;
+  double slots = 0;
+  for (const UpstreamState* state : aUpstreams) {
+    streams += aView.Streams(*state, aNow);
+    slots += state->m_entry.m_slots;
+  }
+  const auto count = static_cast<double>(aUpstreams.size());
+  const double needed =
+    slots == 0 ? 1 : streams / (slots / count * m_options.m_lightFill);
+  const auto part = static_cast<std::size_t>(std::ceil(needed));
+  const std::size_t most = aUpstreams.size() / 2;
+  return std::clamp<std::size_t>(
+    std::max(part, aUpstreams.size() / 4), 1, std::max<std::size_t>(most, 1));
+}
+
+std::vector<Placement::Candidate>
+Placement::EngineCandidates(const UpstreamView& aView,
+                            const PlacementRequest& aRequest,
+                            const std::vector<const UpstreamState*>& aUsable,
+                            Instant aNow) const
+{
+  // One order of the pool that all routers agree on: the first take the light
+  // requests.
+  std::vector<const UpstreamState*> pool = aUsable;
+  std::sort(pool.begin(), pool.end(), [](const auto* aLeft, const auto* aRight) {
+    return PlacementHash(aLeft->m_entry.m_id.Str()) <
+           PlacementHash(aRight->m_entry.m_id.Str());
+  });
+  const std::size_t lightPart = LightPart(aView, pool, aNow);
+  const bool isHeavy = IsHeavy(aRequest);
+  const std::uint64_t key = LocalityKey(aRequest.m_parts);
+  struct Ranked
+  {
+    Candidate m_candidate;
+    std::uint64_t m_weight;
+  };
+  std::vector<Ranked> own;
+  std::vector<Ranked> other;
+  for (std::size_t i = 0; i < pool.size(); ++i) {
+    if (aRequest.m_excluded.contains(pool[i]->m_entry.m_id)) {
+      continue;
+    }
+    const bool isStranger = (i < lightPart) == isHeavy;
+    const std::uint64_t weight =
+      Combine(PlacementHash(pool[i]->m_entry.m_id.Str()), key);
+    (isStranger ? other : own).push_back({ { pool[i], isStranger }, weight });
+  }
+  const auto byWeight = [](const Ranked& aLeft, const Ranked& aRight) {
+    return aLeft.m_weight > aRight.m_weight;
+  };
+  std::sort(own.begin(), own.end(), byWeight);
+  std::sort(other.begin(), other.end(), byWeight);
+  std::vector<Candidate> candidates;
+  for (std::size_t i = 0; i < own.size(); ++i) {
+    // Light requests are small enough to be read anywhere in their part.
+    if (i < m_options.m_candidates || !isHeavy ||
+        own[i].m_candidate.m_state->m_avoidUntil > aNow) {
+      candidates.push_back(own[i].m_candidate);
+    }
+  }
+  for (std::size_t i = 0; i < std::min<std::size_t>(other.size(), 2); ++i) {
+    candidates.push_back(other[i].m_candidate);
+  }
+  return candidates;
+}
+
+PlacementChoice
+Placement::Expect(const UpstreamView& aView,
+                  const PlacementRequest& aRequest,
+                  const UpstreamState& aState,
+                  Instant aNow) const
+{
+  PlacementChoice choice;
+  choice.m_upstream = aState.m_entry.m_id;
+  choice.m_unreadTokens = aView.UnreadTokens(aState, aRequest.m_parts, aNow);
+  choice.m_prefill = Duration(static_cast<Duration::rep>(
+    choice.m_unreadTokens * 1000.0 / m_options.m_prefillTokensPerMs));
+  choice.m_requests = aView.Requests(aState, aNow);
+  choice.m_isLight = !IsHeavy(aRequest);
+  choice.m_expected =
+    Scale(aView.PrefillBacklog(aState, aNow) + choice.m_prefill,
+          aView.Slowness(aState, aNow));
+  return choice;
+}
+
+Duration
+Placement::Cost(const UpstreamView& aView,
+                const PlacementChoice& aChoice,
+                const Candidate& aCandidate,
+                Instant aNow) const
+{
+  const UpstreamState& state = *aCandidate.m_state;
+  Duration cost = Scale(aView.PrefillBacklog(state, aNow),
+                        m_options.m_backlogWeight) +
+                  aChoice.m_prefill +
+                  m_options.m_requestPenalty * aChoice.m_requests;
+  cost = Scale(cost + std::chrono::milliseconds(10),
+               aView.Slowness(state, aNow));
+  if (aCandidate.m_isStranger) {
+    cost += m_options.m_strangerPenalty;
+  }
+  if (state.m_avoidUntil > aNow) {
+    cost += m_options.m_suspectPenalty;
+  }
+  if (state.m_entry.m_zone != m_options.m_zone) {
+    cost += m_options.m_foreignZonePenalty;
+  }
+  return cost;
+}
+
+PlacementResult
+Placement::Choose(const UpstreamView& aView,
+                  const PlacementRequest& aRequest,
+                  Instant aNow) const
+{
+  PlacementResult result;
+  const std::vector<const UpstreamState*> usable =
+    aView.Usable(aRequest.m_service);
+  std::vector<Candidate> candidates;
+  if (aRequest.m_parts.empty()) {
+    for (const UpstreamState* state : usable) {
+      if (!aRequest.m_excluded.contains(state->m_entry.m_id)) {
+        candidates.push_back({ state, false });
+      }
+    }
+  } else {
+    candidates = EngineCandidates(aView, aRequest, usable, aNow);
+  }
+  Duration least = Duration::max();
+  bool isFull = false;
+  for (const Candidate& candidate : candidates) {
+    const UpstreamEntry& entry = candidate.m_state->m_entry;
+    const PlacementChoice choice =
+      Expect(aView, aRequest, *candidate.m_state, aNow);
+    const double room = entry.m_slots * (1 + m_options.m_queueFill);
+    if (choice.m_requests >= room ||
+        (aRequest.m_patience.count() > 0 &&
+         choice.m_expected > aRequest.m_patience)) {
+      isFull = true;
+      continue;
+    }
+    const Duration cost = Cost(aView, choice, candidate, aNow);
+    if (cost < least) {
+      least = cost;
+      result.m_choice = choice;
+      result.m_verdict = PlacementResult::Verdict::kPlaced;
+    }
+  }
+  if (result.m_verdict != PlacementResult::Verdict::kPlaced && isFull) {
+    result.m_verdict = PlacementResult::Verdict::kOverloaded;
+    result.m_retryAfter = std::chrono::milliseconds(300);
+  }
+  return result;
+}
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/lib/Gateway/UpstreamView.cpp
@@ -0,0 +1,250 @@
+#include "bergamotpaddle/Gateway/UpstreamView.h"
+
+#include <algorithm>
+
+namespace bergamotpaddle {
+
+namespace {
+
+/// Parts remembered for one upstream; beyond, the stale ones go.
+constexpr std::size_t kMaxParts = 4096;
+
+} // namespace
+
+UpstreamView::UpstreamView(UpstreamViewOptions aOptions)
+  : m_options(aOptions)
+{
+}
+
+void
+UpstreamView::Upsert(const UpstreamEntry& aEntry)
+{
+  const auto [place, isNew] = m_upstreams.try_emplace(aEntry.m_id);
+  UpstreamState& state = place->second;
+  const bool isRestarted =
+    !isNew && (state.m_entry.m_startedAtMs != aEntry.m_startedAtMs ||
+               state.m_entry.m_address != aEntry.m_address);
+  if (isRestarted) {
+    // What was under way ends by itself; its counts are kept until it does.
+    state.m_partsSeen.clear();
+    state.m_reported.reset();
+    state.m_ofPeers.clear();
+    state.m_failuresInRow = 0;
+    state.m_avoidUntil = {};
+  }
+  state.m_entry = aEntry;
+}
+
+void
+UpstreamView::Remove(const UpstreamId& aId)
+{
+  m_upstreams.erase(aId);
+}
+
+void
+UpstreamView::RetainOnly(const std::vector<UpstreamId>& aKept)
+{
+  std::erase_if(m_upstreams, [&aKept](const auto& aEntry) {
+    return std::find(aKept.begin(), aKept.end(), aEntry.first) == aKept.end();
+  });
+}
+
+UpstreamState*
+UpstreamView::Find(const UpstreamId& aId)
+{
+  const auto found = m_upstreams.find(aId);
+  return found == m_upstreams.end() ? nullptr : &found->second;
+}
+
+const UpstreamState*
+UpstreamView::Find(const UpstreamId& aId) const
+{
+  const auto found = m_upstreams.find(aId);
+  return found == m_upstreams.end() ? nullptr : &found->second;
+}
+
+std::vector<const UpstreamState*>
+UpstreamView::Usable(const ServiceId& aService) const
+{
+  std::vector<const UpstreamState*> usable;
+  for (const auto& [id, state] : m_upstreams) {
+    if (state.m_entry.m_service == aService && !state.m_entry.m_isDraining) {
+      usable.push_back(&state);
+    }
+  }
+  return usable;
+}
+
+void
+UpstreamView::NoteSent(const UpstreamId& aId,
+                       bool aIsStream,
+                       Duration aPrefill,
+                       const std::vector<PromptPart>& aParts,
+                       Instant aNow)
+{
+  UpstreamState* state = Find(aId);
+  if (state == nullptr) {
+    return;
+  }
+  ++state->m_requests;
+  state->m_streams += aIsStream ? 1 : 0;
+  state->m_prefillDoneAt = std::max(state->m_prefillDoneAt, aNow) + aPrefill;
+  if (state->m_partsSeen.size() > kMaxParts) {
+    absl::erase_if(state->m_partsSeen, [&](const auto& aSeen) {
+      return aNow - aSeen.second > m_options.m_partValid;
+    });
+  }
+  for (const PromptPart& part : aParts) {
+    state->m_partsSeen[part.m_id] = aNow;
+  }
+}
+
+void
+UpstreamView::NoteEnded(const UpstreamId& aId, bool aIsStream)
+{
+  UpstreamState* state = Find(aId);
+  if (state == nullptr) {
+    return;
+  }
+  state->m_requests = std::max(0, state->m_requests - 1);
+  state->m_streams = std::max(0, state->m_streams - (aIsStream ? 1 : 0));
+}
+
+void
+UpstreamView::NoteFirstEvent(const UpstreamId& aId, Instant aNow)
+{
+  UpstreamState* state = Find(aId);
+  if (state != nullptr && state->m_requests <= 1) {
+    state->m_prefillDoneAt = std::min(state->m_prefillDoneAt, aNow);
+  }
+}
+
+void
+UpstreamView::NoteReport(const UpstreamId& aId, const ReportedLoad& aLoad)
+{
+  if (UpstreamState* state = Find(aId)) {
+    state->m_reported = aLoad;
+  }
+}
+
+void
+UpstreamView::NoteOutcome(const UpstreamId& aId,
+                          ExchangeOutcome aOutcome,
+                          Instant aNow)
+{
+  UpstreamState* state = Find(aId);
+  if (state == nullptr) {
+    return;
+  }
+  if (aOutcome == ExchangeOutcome::kGood) {
+    state->m_failuresInRow = 0;
+    state->m_avoidUntil = {};
+    return;
+  }
+  ++state->m_failuresInRow;
+  const int tolerated = aOutcome == ExchangeOutcome::kUnreachable
+                          ? 1
+                          : m_options.m_failuresBeforeAvoid;
+  if (state->m_failuresInRow < tolerated) {
+    return;
+  }
+  const int doublings = std::min(state->m_failuresInRow - tolerated, 6);
+  state->m_avoidUntil =
+    aNow + std::min(m_options.m_firstAvoid * (1 << doublings),
+                    m_options.m_longestAvoid);
+}
+
+void
+UpstreamView::NotePeerLoad(const std::string& aPeer,
+                           const UpstreamId& aId,
+                           const SentLoad& aLoad,
+                           Instant aNow)
+{
+  if (UpstreamState* state = Find(aId)) {
+    state->m_ofPeers[aPeer] = { aLoad, aNow };
+  }
+}
+
+void
+UpstreamView::NotePeerParts(const UpstreamId& aId,
+                            const std::vector<std::uint64_t>& aParts,
+                            Instant aNow)
+{
+  UpstreamState* state = Find(aId);
+  if (state == nullptr) {
+    return;
+  }
+  for (std::uint64_t part : aParts) {
+    state->m_partsSeen[part] = aNow;
+  }
+}
+
+int
+UpstreamView::Requests(const UpstreamState& aState, Instant aNow) const
+{
+  int sum = aState.m_requests;
+  for (const auto& [peer, told] : aState.m_ofPeers) {
+    sum += aNow - told.second < m_options.m_peerLoadValid
+             ? told.first.m_requests
+             : 0;
+  }
+  return sum;
+}
+
+int
+UpstreamView::Streams(const UpstreamState& aState, Instant aNow) const
+{
+  int sum = aState.m_streams;
+  for (const auto& [peer, told] : aState.m_ofPeers) {
+    sum +=
+      aNow - told.second < m_options.m_peerLoadValid ? told.first.m_streams : 0;
+  }
+  return sum;
+}
+
+Duration
+UpstreamView::PrefillBacklog(const UpstreamState& aState, Instant aNow) const
+{
+  Duration sum = std::max(aState.m_prefillDoneAt - aNow, Duration(0));
+  for (const auto& [peer, told] : aState.m_ofPeers) {
+    sum += std::max(told.first.m_prefillLeft - (aNow - told.second),
+                    Duration(0));
+  }
+  return sum;
+}
+
+double
+UpstreamView::Slowness(const UpstreamState& aState, Instant aNow) const
+{
+  if (!aState.m_reported ||
+      aNow - aState.m_reported->m_at > m_options.m_reportValid) {
+    return 1;
+  }
+  return std::max(aState.m_reported->m_slowness, 0.1);
+}
+
+std::uint32_t
+UpstreamView::UnreadTokens(const UpstreamState& aState,
+                           const std::vector<PromptPart>& aParts,
+                           Instant aNow) const
+{
+  std::uint32_t unread = 0;
+  bool isCached = true; // A part helps only if all before it are there.
+  for (const PromptPart& part : aParts) {
+    const auto seen = aState.m_partsSeen.find(part.m_id);
+    isCached = isCached && seen != aState.m_partsSeen.end() &&
+               aNow - seen->second < m_options.m_partValid;
+    unread += isCached ? 0 : part.m_tokens;
+  }
+  return unread;
+}
+
+SentLoad
+UpstreamView::Own(const UpstreamState& aState, Instant aNow) const
+{
+  return { aState.m_requests,
+           aState.m_streams,
+           std::max(aState.m_prefillDoneAt - aNow, Duration(0)) };
+}
+
+} // namespace bergamotpaddle
