Upstream answers: no limit on the body is given as a number

Cause: an empty limit makes the parser of Boost 1.74 refuse every answer that has a length. Ruled out: broken answers of the servers; the log's new error text named the limit.

--- a/include/bergamotpaddle/Forwarding/UpstreamExchange.h
+++ b/include/bergamotpaddle/Forwarding/UpstreamExchange.h
@@ -60,6 +60,8 @@
   void Abort(AbortReason aReason);
   AbortReason Aborted() const { return m_aborted; }
   void Close();
+  /// What went wrong last; empty if nothing did.
+  const std::string& Error() const { return m_error; }
 
 private:
   using Parser =
@@ -70,6 +72,7 @@
   std::optional<Parser> m_parser;
   AbortReason m_aborted = AbortReason::kNone;
   bool m_isWhole = false;
+  std::string m_error;
 };
 
 } // namespace bergamotpaddle
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -471,6 +471,7 @@
                    .Number("end", static_cast<int>(aEnd))
                    .Number("aborted", static_cast<int>(m_exchange->Aborted()))
                    .Text("why", m_why)
+                   .Text("error", m_exchange->Error())
                    .Milliseconds("after_ms", Passed()));
   }
 }
--- a/lib/Forwarding/UpstreamExchange.cpp
+++ b/lib/Forwarding/UpstreamExchange.cpp
@@ -20,6 +20,9 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr int kFirstFinalStatus = 200;
+/// Whoever collects a body bounds it. "No limit" by an empty value fails in
+/// Beast of Boost 1.74.
+constexpr std::uint64_t kNoLimit = std::numeric_limits<std::uint64_t>::max();
 
 auto
 Into(ErrorCode& aError)
@@ -50,6 +53,7 @@
   ErrorCode error;
   co_await m_socket.async_connect(*endpoint, Into(error));
   if (error || m_aborted != AbortReason::kNone) {
+    m_error = error.message();
     co_return false;
   }
   m_socket.set_option(asio::ip::tcp::no_delay(true), error);
@@ -80,12 +84,13 @@
   ErrorCode error;
   do {
     m_parser.emplace();
-    m_parser->body_limit(boost::none);
+    m_parser->body_limit(kNoLimit);
     m_parser->skip(aIsHeadRequest);
     co_await http::async_read_header(
       m_socket, m_buffer, *m_parser, Into(error));
   } while (!error && m_parser->get().result_int() < kFirstFinalStatus);
   if (error) {
+    m_error = error.message();
     co_return std::nullopt;
   }
   Head head;
@@ -107,6 +112,7 @@
     co_await http::async_read_some(m_socket, m_buffer, *m_parser, Into(error));
     bytes.swap(m_parser->get().body());
   }
+  m_error = error ? error.message() : std::string();
   // An answer without a length ends whole where the connection does, unless
   // that was reset.
   m_isWhole = m_parser->is_done() && !error && m_aborted == AbortReason::kNone;
