--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -63,7 +63,8 @@
   Duration m_demandSpan = std::chrono::seconds(4);
   /// Least headroom, in requests of the account's usual greatest size.
   double m_minRequests = 6;
-  /// Part of a budget that all routers together hold before any demand.
+  /// Part of an account's free credit that all routers together hold without
+  /// demand; as a budget runs out they return it to where demand is.
   double m_initialShare = 0.15;
   /// Part of an account's free credit that one write may take.
   double m_maxShareOfFree = 0.4;
@@ -79,14 +80,25 @@
   kOutOfReach, ///< Credit may exist but is not granted to this router.
 };
 
+/// One account's credit as a router sees it, for logs.
+struct CreditStatus
+{
+  std::uint64_t m_prepaid = 0;
+  std::uint64_t m_limit = 0; ///< What this router may spend in all.
+  std::uint64_t m_used = 0;  ///< Spent and allotted of that.
+  std::uint64_t m_free = 0;  ///< Granted to nobody when the record was read.
+  auto operator<=>(const CreditStatus&) const = default;
+};
+
 /// The accounts of one router.
 class CreditBook
 {
 public:
   CreditBook(CreditHolder aSelf, CreditOptions aOptions);
 
-  /// Sets an account's budget; an account that is not set has none.
-  void SetPrepaid(const AccountId& aAccount, std::uint64_t aTokens);
+  /// Sets an account's budget; true if it changed. An account that is not set
+  /// has none.
+  bool SetPrepaid(const AccountId& aAccount, std::uint64_t aTokens);
 
   /// Sets aside \p aMost tokens for a request that is about to be sent.
   CreditVerdict Allot(const AccountId& aAccount,
@@ -112,6 +124,8 @@
   /// The planned record was not written, or nobody knows.
   void Drop();
 
+  CreditStatus Status(const AccountId& aAccount) const;
+
   /// Tokens that may still be allotted for \p aAccount.
   std::uint64_t Spendable(const AccountId& aAccount) const;
 
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -602,11 +602,13 @@
       .Number("sends", static_cast<std::int64_t>(m_progress->Tried().size()))
       .Number("events", static_cast<std::int64_t>(m_eventsDelivered));
   }
-  if (m_allotted != 0) {
+  if (m_account != nullptr && m_account->m_prepaid) {
+    const CreditStatus credit = m_state->m_credit.Status(m_account->m_id);
     line.Number("allotted", static_cast<std::int64_t>(m_allotted))
-      .Number("credit_left",
-              static_cast<std::int64_t>(
-                m_state->m_credit.Spendable(m_account->m_id)));
+      .Number("credit_limit", static_cast<std::int64_t>(credit.m_limit))
+      .Number("credit_used", static_cast<std::int64_t>(credit.m_used))
+      .Number("credit_free", static_cast<std::int64_t>(credit.m_free))
+      .Number("prepaid", static_cast<std::int64_t>(credit.m_prepaid));
   }
   if (!m_why.empty()) {
     line.Text("why", m_why);
--- a/lib/Gateway/CreditBook.cpp
+++ b/lib/Gateway/CreditBook.cpp
@@ -89,10 +89,10 @@
 {
 }
 
-void
+bool
 CreditBook::SetPrepaid(const AccountId& aAccount, std::uint64_t aTokens)
 {
-  m_balances[aAccount].m_prepaid = aTokens;
+  return std::exchange(m_balances[aAccount].m_prepaid, aTokens) != aTokens;
 }
 
 CreditVerdict
@@ -160,11 +160,11 @@
   const double byDemand =
     RateAt(aBalance, aNow) * Seconds(m_options.m_headroom);
   const double byRequests = m_options.m_minRequests * aBalance.m_usualRequest;
-  const double initial = m_options.m_initialShare *
-                         static_cast<double>(aBalance.m_prepaid) /
-                         static_cast<double>(m_holders);
+  const double withoutDemand = m_options.m_initialShare *
+                               static_cast<double>(aBalance.m_freeAtLastRead) /
+                               static_cast<double>(m_holders);
   return static_cast<std::uint64_t>(
-    std::max({ byDemand, byRequests, initial }));
+    std::max({ byDemand, byRequests, withoutDemand }));
 }
 
 std::uint64_t
@@ -237,8 +237,8 @@
     const std::uint64_t committed = credit.Committed();
     const std::uint64_t free =
       balance.m_prepaid > committed ? balance.m_prepaid - committed : 0;
-    grant = WantedGrant(balance, free, aNow);
     balance.m_freeAtLastRead = free;
+    grant = WantedGrant(balance, free, aNow);
     balance.m_wasRead = true;
     balance.m_planned = grant;
     balance.m_hasPlan = true;
@@ -271,6 +271,20 @@
   }
 }
 
+CreditStatus
+CreditBook::Status(const AccountId& aAccount) const
+{
+  const auto found = m_balances.find(aAccount);
+  if (found == m_balances.end()) {
+    return {};
+  }
+  const Balance& balance = found->second;
+  return { balance.m_prepaid,
+           balance.Limit(),
+           balance.Used(),
+           balance.m_freeAtLastRead };
+}
+
 std::uint64_t
 CreditBook::Spendable(const AccountId& aAccount) const
 {
