Credit: a share of the rest by demand, returned at a planned stop

Change: the record tells what each router spent and its demand; all together hold 0.45 of the rest at the most, by demand; a router that stops returns what it did not spend. Headroom against both losses is a trade: the constant has to be measured.

--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -31,14 +31,31 @@
   auto operator<=>(const CreditHolder&) const = default;
 };
 
+/// What one router holds of one account.
+struct CreditGrant
+{
+  std::uint64_t m_granted = 0; ///< The most that it may ever have spent.
+  std::uint64_t m_spent = 0;   ///< Spent for certain when this was written.
+  std::uint64_t m_rate = 0;    ///< Demand then, in tokens a second.
+  auto operator<=>(const CreditGrant&) const = default;
+};
+
 /// One account in the shared record.
 struct AccountCredit
 {
   std::uint64_t m_closed = 0; ///< Grants of lives that ended, taken as spent.
-  std::map<HolderId, std::uint64_t> m_grants;
+  std::uint64_t m_closedSpent = 0; ///< Of these, what was spent for certain.
+  std::map<HolderId, CreditGrant> m_grants;
   auto operator<=>(const AccountCredit&) const = default;
 
+  /// What is spent or granted: nobody else may have it.
   std::uint64_t Committed() const;
+  /// What is spent for certain.
+  std::uint64_t Spent() const;
+  /// Demand of all routers, in tokens a second.
+  std::uint64_t Rate() const;
+  /// Takes the grant of \p aLife as spent.
+  void Close(const HolderId& aLife);
 };
 
 /// The shared record.
@@ -66,8 +83,10 @@
   /// Part of an account's free credit that all routers together hold without
   /// demand; as a budget runs out they return it to where demand is.
   double m_initialShare = 0.15;
-  /// Part of an account's free credit that one write may take.
-  double m_maxShareOfFree = 0.4;
+  /// Part of what is left of a budget that all routers together hold ahead of
+  /// demand. A kill of all at once loses that much, and a loss of the platform
+  /// is covered by it: half covers 8 s until four fifths are spent.
+  double m_maxShareOfRest = 0.45;
   /// A grant above the wanted one by this factor is lowered.
   double m_returnAbove = 1.5;
 };
@@ -119,6 +138,11 @@
   /// spending stays within both the old and the new grants.
   std::optional<CreditRecord> Plan(const CreditRecord& aPresent, Instant aNow);
 
+  /// The record for a planned stop, with nothing under way any more: this life
+  /// closes at what it used, so that nothing is lost. From here on nothing is
+  /// allotted any more.
+  CreditRecord PlanStop(const CreditRecord& aPresent);
+
   /// The planned record was written for certain.
   void Confirm();
   /// The planned record was not written, or nobody knows.
@@ -140,7 +164,9 @@
     std::uint64_t m_spent = 0;    ///< Settled.
     std::uint64_t m_allotted = 0; ///< Set aside for requests under way.
     std::uint64_t m_freeAtLastRead = 0; ///< Not granted to anyone.
-    bool m_wasRead = false;
+    std::uint64_t m_spentByOthers = 0;  ///< For certain, when read last.
+    double m_rateOfOthers = 0;          ///< Tokens a second, when read last.
+    std::uint64_t m_rest = 0; ///< Of the budget beyond what is spent.
     double m_demandRate = 0;      ///< Tokens a second, moving average.
     double m_usualRequest = 0;    ///< Greatest size, moving average.
     std::optional<Instant> m_lastDemand;
@@ -155,11 +181,13 @@
   std::uint64_t WantedGrant(const Balance& aBalance,
                             std::uint64_t aFree,
                             Instant aNow) const;
+  void TakeRead(Balance& aBalance, const AccountCredit& aCredit) const;
   /// Takes grants of earlier lives of this host as spent; true if any were.
   bool CloseEarlierLives(CreditRecord& aRecord) const;
 
   CreditHolder m_self;
   CreditOptions m_options;
+  bool m_isStopped = false;
   std::size_t m_holders = 1; ///< In the record read last.
   std::map<AccountId, Balance> m_balances;
 };
--- a/lib/Forwarding/GatewayServer.cpp
+++ b/lib/Forwarding/GatewayServer.cpp
@@ -255,7 +255,7 @@
     }
   }
   // Leaves a moment before the platform ends the process by force.
-  constexpr Duration kBeforeForce = std::chrono::milliseconds(200);
+  constexpr Duration kBeforeForce = std::chrono::milliseconds(600);
   const bool isDone = m_state->m_requestsUnderWay == 0 && m_sessions.empty();
   if ((isDone || passed > m_options.m_grace - kBeforeForce) && m_onStopped) {
     std::exchange(m_onStopped, nullptr)();
--- a/lib/Gateway/CreditBook.cpp
+++ b/lib/Gateway/CreditBook.cpp
@@ -25,27 +25,63 @@
 AccountCredit::Committed() const
 {
   std::uint64_t sum = m_closed;
-  for (const auto& [holder, granted] : m_grants) {
-    sum += granted;
+  for (const auto& [life, grant] : m_grants) {
+    sum += grant.m_granted;
   }
   return sum;
 }
 
+std::uint64_t
+AccountCredit::Spent() const
+{
+  std::uint64_t sum = m_closedSpent;
+  for (const auto& [life, grant] : m_grants) {
+    sum += grant.m_spent;
+  }
+  return sum;
+}
+
+std::uint64_t
+AccountCredit::Rate() const
+{
+  std::uint64_t sum = 0;
+  for (const auto& [life, grant] : m_grants) {
+    sum += grant.m_rate;
+  }
+  return sum;
+}
+
+void
+AccountCredit::Close(const HolderId& aLife)
+{
+  if (const auto grant = m_grants.extract(aLife)) {
+    m_closed += grant.mapped().m_granted;
+    m_closedSpent += grant.mapped().m_spent;
+  }
+}
+
 std::string
 CreditRecord::Encode() const
 {
-  json holders = json::object();
+  // Holders by number: their names would stand once for each account.
+  json holders = json::array();
+  std::map<HolderId, std::size_t> numbers;
   for (const auto& [life, holder] : m_holders) {
-    holders[life.Str()] = { { "host", holder.m_host },
-                            { "address", holder.m_address } };
+    numbers[life] = holders.size();
+    holders.push_back({ life.Str(), holder.m_host, holder.m_address });
   }
   json accounts = json::object();
   for (const auto& [account, credit] : m_accounts) {
-    json grants = json::object();
-    for (const auto& [life, granted] : credit.m_grants) {
-      grants[life.Str()] = granted;
+    json grants = json::array();
+    for (const auto& [life, grant] : credit.m_grants) {
+      const auto number = numbers.find(life);
+      if (number != numbers.end() && grant != CreditGrant{}) {
+        grants.push_back(
+          { number->second, grant.m_granted, grant.m_spent, grant.m_rate });
+      }
     }
     accounts[account.Str()] = { { "closed", credit.m_closed },
+                                { "closed_spent", credit.m_closedSpent },
                                 { "grants", std::move(grants) } };
   }
   return json{ { "holders", std::move(holders) },
@@ -59,16 +95,24 @@
   try {
     const json text = json::parse(aText);
     CreditRecord record;
-    for (const auto& [life, holder] : text.at("holders").items()) {
-      record.m_holders[HolderId(life)] = { holder.at("host"),
-                                           HolderId(life),
-                                           holder.at("address") };
+    std::vector<HolderId> lives;
+    for (const json& holder : text.at("holders")) {
+      const HolderId life(holder.at(0).get<std::string>());
+      lives.push_back(life);
+      record.m_holders[life] = { holder.at(1), life, holder.at(2) };
     }
     for (const auto& [account, credit] : text.at("accounts").items()) {
       AccountCredit& entry = record.m_accounts[AccountId(account)];
       entry.m_closed = credit.at("closed").get<std::uint64_t>();
-      for (const auto& [life, granted] : credit.at("grants").items()) {
-        entry.m_grants[HolderId(life)] = granted.get<std::uint64_t>();
+      entry.m_closedSpent = credit.at("closed_spent").get<std::uint64_t>();
+      for (const json& grant : credit.at("grants")) {
+        const auto number = grant.at(0).get<std::size_t>();
+        if (number >= lives.size()) {
+          return absl::DataLossError("credit record: a grant of no holder");
+        }
+        entry.m_grants[lives[number]] = { grant.at(1).get<std::uint64_t>(),
+                                          grant.at(2).get<std::uint64_t>(),
+                                          grant.at(3).get<std::uint64_t>() };
       }
     }
     return record;
@@ -99,7 +143,7 @@
 CreditBook::Allot(const AccountId& aAccount, std::uint64_t aMost, Instant aNow)
 {
   const auto found = m_balances.find(aAccount);
-  if (found == m_balances.end()) {
+  if (found == m_balances.end() || m_isStopped) {
     return CreditVerdict::kOutOfReach;
   }
   Balance& balance = found->second;
@@ -108,12 +152,10 @@
     balance.m_allotted += aMost;
     return CreditVerdict::kAllotted;
   }
-  // Grants only grow at others' hands and closed lives stay spent, so what was
-  // free when read is the most that can be had unless another router returns.
-  const bool isCertain =
-    balance.m_wasRead && balance.m_freeAtLastRead + balance.Limit() <
-                           balance.Used() + aMost &&
-    balance.m_prepaid < balance.m_spent + aMost;
+  // What others spent only grows, so a budget that does not cover the request
+  // beside that never will, unless it is raised.
+  const bool isCertain = balance.m_prepaid <
+                         balance.m_spentByOthers + balance.m_spent + aMost;
   return isCertain ? CreditVerdict::kExhausted : CreditVerdict::kOutOfReach;
 }
 
@@ -157,14 +199,18 @@
 std::uint64_t
 CreditBook::Headroom(const Balance& aBalance, Instant aNow) const
 {
-  const double byDemand =
-    RateAt(aBalance, aNow) * Seconds(m_options.m_headroom);
+  const double rate = RateAt(aBalance, aNow);
+  const double byDemand = rate * Seconds(m_options.m_headroom);
   const double byRequests = m_options.m_minRequests * aBalance.m_usualRequest;
   const double withoutDemand = m_options.m_initialShare *
                                static_cast<double>(aBalance.m_freeAtLastRead) /
                                static_cast<double>(m_holders);
+  const double wanted = std::max({ byDemand, byRequests, withoutDemand });
+  const double ofDemand = rate == 0 ? 0 : rate / (rate + aBalance.m_rateOfOthers);
+  const double most = static_cast<double>(aBalance.m_rest) *
+                      m_options.m_maxShareOfRest * ofDemand;
   return static_cast<std::uint64_t>(
-    std::max({ byDemand, byRequests, withoutDemand }));
+    std::min(wanted, std::max(most, withoutDemand)));
 }
 
 std::uint64_t
@@ -175,9 +221,7 @@
   const std::uint64_t wanted = aBalance.Used() + Headroom(aBalance, aNow);
   const std::uint64_t granted = aBalance.Limit();
   if (wanted > granted) {
-    const auto most = static_cast<std::uint64_t>(
-      static_cast<double>(aFree) * m_options.m_maxShareOfFree);
-    return granted + std::min(wanted - granted, most);
+    return granted + std::min(wanted - granted, aFree);
   }
   const double spare = static_cast<double>(granted - aBalance.Used());
   const double kept = static_cast<double>(wanted - aBalance.Used());
@@ -209,9 +253,7 @@
   for (const HolderId& life : ended) {
     aRecord.m_holders.erase(life);
     for (auto& [account, credit] : aRecord.m_accounts) {
-      if (const auto grant = credit.m_grants.extract(life)) {
-        credit.m_closed += grant.mapped();
-      }
+      credit.Close(life);
     }
   }
   return !ended.empty();
@@ -229,20 +271,18 @@
   m_holders = record.m_holders.size();
   for (auto& [account, balance] : m_balances) {
     AccountCredit& credit = record.m_accounts[account];
+    CreditGrant& grant = credit.m_grants[m_self.m_life];
+    const std::uint64_t inRecord = grant.m_granted;
     // Our own entry counts as what we may spend now: what the record says
     // beyond that is a lowering of ours that did not arrive.
-    std::uint64_t& grant = credit.m_grants[m_self.m_life];
-    const std::uint64_t inRecord = grant;
-    grant = balance.Limit();
-    const std::uint64_t committed = credit.Committed();
-    const std::uint64_t free =
-      balance.m_prepaid > committed ? balance.m_prepaid - committed : 0;
-    balance.m_freeAtLastRead = free;
-    grant = WantedGrant(balance, free, aNow);
-    balance.m_wasRead = true;
-    balance.m_planned = grant;
+    grant = { balance.Limit(), 0, 0 };
+    TakeRead(balance, credit);
+    grant = { WantedGrant(balance, balance.m_freeAtLastRead, aNow),
+              balance.m_spent,
+              static_cast<std::uint64_t>(RateAt(balance, aNow)) };
+    balance.m_planned = grant.m_granted;
     balance.m_hasPlan = true;
-    isChanged = isChanged || grant != inRecord;
+    isChanged = isChanged || grant.m_granted != inRecord;
   }
   if (!isChanged) {
     Drop();
@@ -251,6 +291,39 @@
   return record;
 }
 
+void
+CreditBook::TakeRead(Balance& aBalance, const AccountCredit& aCredit) const
+{
+  const std::uint64_t committed = aCredit.Committed();
+  aBalance.m_freeAtLastRead =
+    aBalance.m_prepaid > committed ? aBalance.m_prepaid - committed : 0;
+  aBalance.m_spentByOthers = aCredit.Spent();
+  aBalance.m_rateOfOthers = static_cast<double>(aCredit.Rate());
+  const std::uint64_t gone =
+    aCredit.m_closed + aCredit.Spent() - aCredit.m_closedSpent +
+    aBalance.Used();
+  aBalance.m_rest = aBalance.m_prepaid > gone ? aBalance.m_prepaid - gone : 0;
+}
+
+CreditRecord
+CreditBook::PlanStop(const CreditRecord& aPresent)
+{
+  m_isStopped = true;
+  CreditRecord record = aPresent;
+  for (auto& [account, credit] : record.m_accounts) {
+    const auto balance = m_balances.find(account);
+    if (balance == m_balances.end()) {
+      continue;
+    }
+    CreditGrant& grant = credit.m_grants[m_self.m_life];
+    grant.m_granted = balance->second.Used();
+    grant.m_spent = balance->second.m_spent;
+    credit.Close(m_self.m_life);
+  }
+  record.m_holders.erase(m_self.m_life);
+  return record;
+}
+
 void
 CreditBook::Confirm()
 {
