--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -99,6 +99,8 @@
   int m_status = 0;
   std::string m_why;
   std::optional<Duration> m_firstByteAfter;
+  std::optional<Instant> m_lastEventAt;
+  Duration m_longestPause{ 0 };
 };
 
 } // namespace bergamotpaddle
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -389,6 +389,11 @@
       co_return ExchangeEnd::kBroken;
     }
     if (!events.empty()) {
+      const Instant now = m_state->Now();
+      if (m_lastEventAt) {
+        m_longestPause = std::max(m_longestPause, now - *m_lastEventAt);
+      }
+      m_lastEventAt = now;
       if (silence) {
         ArmSilence(*silence);
       }
@@ -592,7 +597,8 @@
             m_table ? static_cast<std::int64_t>(m_table->Version()) : 0)
     .Milliseconds("total_ms", Passed());
   if (m_firstByteAfter) {
-    line.Milliseconds("first_ms", *m_firstByteAfter);
+    line.Milliseconds("first_ms", *m_firstByteAfter)
+      .Milliseconds("pause_ms", m_longestPause);
   }
   if (m_progress && !m_progress->Tried().empty()) {
     line.Text("upstream", m_choice.m_upstream.Str())
