Placement: a steady, smaller light part; engines' slowness shared; reading time by chunks and pairs

Cause: the split of the pool moved with every change of load, so prompts were read again at their new engines, and took up to half of the pool from long prompts. Ruled out: late streams beside: 13 of 1,286 pauses late at 12 streams an engine; the split can be smaller.

--- a/include/bergamotpaddle/Gateway/PeerDigest.h
+++ b/include/bergamotpaddle/Gateway/PeerDigest.h
@@ -21,11 +21,15 @@
   int m_requests = 0;
   int m_streams = 0;
   std::int64_t m_prefillLeftUs = 0;
+  double m_slowness = 0;            ///< As reported; 0: no fresh report.
+  std::int64_t m_slownessAgeUs = 0; ///< Of that report.
   std::vector<std::uint64_t> m_newParts; ///< Prompt parts sent since the last.
   MSGPACK_DEFINE(m_upstream,
                  m_requests,
                  m_streams,
                  m_prefillLeftUs,
+                 m_slowness,
+                 m_slownessAgeUs,
                  m_newParts)
   auto operator<=>(const UpstreamDigest&) const = default;
 };
--- a/include/bergamotpaddle/Gateway/Placement.h
+++ b/include/bergamotpaddle/Gateway/Placement.h
@@ -60,16 +60,23 @@
 {
   std::string m_zone; ///< The router's own.
   double m_prefillTokensPerMs = 110;
-  /// Time of one token of a lightly loaded engine.
+  /// Time of one token of a lightly loaded engine; each chunk of a prompt is
+  /// read within one such step.
   Duration m_tokenTime = std::chrono::microseconds(6500);
+  std::uint32_t m_chunkTokens = 2048;
+  /// Reading a million pairs of tokens that attend to each other.
+  Duration m_timePerMillionPairs = std::chrono::microseconds(325);
   /// Reading longer than this disturbs the streams beside it.
-  Duration m_heavyPrefill = std::chrono::milliseconds(16);
+  Duration m_heavyPrefill = std::chrono::milliseconds(32);
   /// Part of its slots that the light part of a pool is sized for.
-  double m_lightFill = 0.4;
+  double m_lightFill = 0.75;
+  /// The light part gives an upstream back only after this time: each change
+  /// costs the prompts that were cached for the other part.
+  Duration m_lightPartHold = std::chrono::seconds(8);
   /// Engines compared for a prompt, in the order of its rendezvous weights.
   std::size_t m_candidates = 3;
   /// What a request on the wrong part of the pool is charged, in time.
-  Duration m_strangerPenalty = std::chrono::milliseconds(120);
+  Duration m_strangerPenalty = std::chrono::milliseconds(400);
   /// What each request under way is charged, in time.
   Duration m_requestPenalty = std::chrono::milliseconds(5);
   /// Weight of the backlog against this prompt's own reading.
@@ -82,7 +89,8 @@
   double m_queueFill = 1.0;
 };
 
-/// Chooses upstreams. Free of I/O and of randomness.
+/// Chooses upstreams. Free of I/O and of randomness; remembers how each pool
+/// was split.
 class Placement
 {
 public:
@@ -90,12 +98,16 @@
 
   PlacementResult Choose(const UpstreamView& aView,
                          const PlacementRequest& aRequest,
-                         Instant aNow) const;
+                         Instant aNow);
 
   /// How many of \p aUpstreams the light requests of a pool need now.
   std::size_t LightPart(const UpstreamView& aView,
+                        const ServiceId& aService,
                         const std::vector<const UpstreamState*>& aUpstreams,
-                        Instant aNow) const;
+                        Instant aNow);
+
+  /// How long an engine reads \p aUnread of a prompt of \p aAll tokens.
+  Duration PrefillTime(std::uint32_t aUnread, std::uint32_t aAll) const;
 
   /// Whether a request keeps running streams waiting for long.
   bool IsHeavy(const PlacementRequest& aRequest) const;
@@ -111,7 +123,7 @@
     const UpstreamView& aView,
     const PlacementRequest& aRequest,
     const std::vector<const UpstreamState*>& aUsable,
-    Instant aNow) const;
+    Instant aNow);
   PlacementChoice Expect(const UpstreamView& aView,
                          const PlacementRequest& aRequest,
                          const UpstreamState& aState,
@@ -121,7 +133,15 @@
                 const Candidate& aCandidate,
                 Instant aNow) const;
 
+  /// How a pool is split.
+  struct Split
+  {
+    std::size_t m_part = 0;
+    Instant m_neededAt{}; ///< When demand last asked for as many.
+  };
+
   PlacementOptions m_options;
+  std::map<ServiceId, Split> m_splits;
 };
 
 } // namespace bergamotpaddle
--- a/include/bergamotpaddle/Gateway/UpstreamView.h
+++ b/include/bergamotpaddle/Gateway/UpstreamView.h
@@ -126,6 +126,8 @@
   /// The prompts sent before are read: the first event has come.
   void NoteFirstEvent(const UpstreamId& aId, Instant aNow);
   void NoteReport(const UpstreamId& aId, const ReportedLoad& aLoad);
+  /// A peer saw how long work takes there, at \p aAt.
+  void NoteSlowness(const UpstreamId& aId, double aSlowness, Instant aAt);
   void NoteOutcome(const UpstreamId& aId,
                    ExchangeOutcome aOutcome,
                    Instant aNow);
--- a/lib/Forwarding/PeerLink.cpp
+++ b/lib/Forwarding/PeerLink.cpp
@@ -123,11 +123,16 @@
       continue;
     }
     const SentLoad own = m_state->m_upstreams.Own(*state, now);
-    digest.m_upstreams.push_back({ id.Str(),
-                                   own.m_requests,
-                                   own.m_streams,
-                                   own.m_prefillLeft.count(),
-                                   { parts.begin(), parts.end() } });
+    UpstreamDigest& line = digest.m_upstreams.emplace_back();
+    line.m_upstream = id.Str();
+    line.m_requests = own.m_requests;
+    line.m_streams = own.m_streams;
+    line.m_prefillLeftUs = own.m_prefillLeft.count();
+    if (state->m_reported) {
+      line.m_slowness = state->m_reported->m_slowness;
+      line.m_slownessAgeUs = (now - state->m_reported->m_at).count();
+    }
+    line.m_newParts.assign(parts.begin(), parts.end());
     if (own.m_requests > 0 || !parts.empty()) {
       m_toldLast.insert(id);
     }
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -320,6 +320,7 @@
   if (answer.m_load) {
     answer.m_load->m_at = m_state->Now();
     m_state->m_upstreams.NoteReport(m_choice.m_upstream, *answer.m_load);
+    m_state->m_onLoadChanged(m_choice.m_upstream, {});
   }
   if (answer.m_isProvedNotRun) {
     co_return ExchangeEnd::kNotRun;
--- a/lib/Gateway/PeerDigest.cpp
+++ b/lib/Gateway/PeerDigest.cpp
@@ -36,6 +36,10 @@
                          upstream.m_streams,
                          Duration(upstream.m_prefillLeftUs) },
                        aNow);
+    if (upstream.m_slowness > 0) {
+      aView.NoteSlowness(
+        id, upstream.m_slowness, aNow - Duration(upstream.m_slownessAgeUs));
+    }
     aView.NotePeerParts(id, upstream.m_newParts, aNow);
   }
 }
--- a/lib/Gateway/Placement.cpp
+++ b/lib/Gateway/Placement.cpp
@@ -28,6 +28,16 @@
                                aFactor));
 }
 
+std::uint32_t
+AllTokens(const std::vector<PromptPart>& aParts)
+{
+  std::uint32_t tokens = 0;
+  for (const PromptPart& part : aParts) {
+    tokens += part.m_tokens;
+  }
+  return tokens;
+}
+
 /// The deepest part that other requests share: the last belongs to the
 /// request alone.
 std::uint64_t
@@ -49,19 +59,32 @@
 bool
 Placement::IsHeavy(const PlacementRequest& aRequest) const
 {
-  double tokens = 0;
-  for (const PromptPart& part : aRequest.m_parts) {
-    tokens += part.m_tokens;
-  }
-  const double milliseconds = tokens / m_options.m_prefillTokensPerMs;
-  return Duration(static_cast<Duration::rep>(milliseconds * 1000)) >
-         m_options.m_heavyPrefill;
+  const std::uint32_t tokens = AllTokens(aRequest.m_parts);
+  return PrefillTime(tokens, tokens) > m_options.m_heavyPrefill;
+}
+
+Duration
+Placement::PrefillTime(std::uint32_t aUnread, std::uint32_t aAll) const
+{
+  constexpr double kMicrosecondsPerMs = 1000;
+  constexpr double kMillion = 1e6;
+  const double reading =
+    aUnread / m_options.m_prefillTokensPerMs * kMicrosecondsPerMs;
+  const double steps = std::ceil(static_cast<double>(aUnread) /
+                                 m_options.m_chunkTokens) *
+                       static_cast<double>(m_options.m_tokenTime.count());
+  const double read = static_cast<double>(aAll) - aUnread;
+  const double pairs =
+    aUnread * (read + aUnread / 2.0) / kMillion *
+    static_cast<double>(m_options.m_timePerMillionPairs.count());
+  return Duration(static_cast<Duration::rep>(reading + steps + pairs));
 }
 
 std::size_t
 Placement::LightPart(const UpstreamView& aView,
+                     const ServiceId& aService,
                      const std::vector<const UpstreamState*>& aUpstreams,
-                     Instant aNow) const
+                     Instant aNow)
 {
   double streams = 0;
   double slots = 0;
@@ -72,17 +95,24 @@
   const auto count = static_cast<double>(aUpstreams.size());
   const double needed =
     slots == 0 ? 1 : streams / (slots / count * m_options.m_lightFill);
-  const auto part = static_cast<std::size_t>(std::ceil(needed));
-  const std::size_t most = aUpstreams.size() / 2;
-  return std::clamp<std::size_t>(
-    std::max(part, aUpstreams.size() / 4), 1, std::max<std::size_t>(most, 1));
+  const std::size_t most = std::max<std::size_t>(aUpstreams.size() / 2, 1);
+  const std::size_t least = std::max<std::size_t>(aUpstreams.size() / 6, 1);
+  const std::size_t part = std::clamp(
+    static_cast<std::size_t>(std::ceil(needed)), least, most);
+  Split& split = m_splits[aService];
+  if (part >= split.m_part) {
+    split = { part, aNow };
+  } else if (aNow - split.m_neededAt > m_options.m_lightPartHold) {
+    split = { split.m_part - 1, aNow };
+  }
+  return std::min(split.m_part, most);
 }
 
 std::vector<Placement::Candidate>
 Placement::EngineCandidates(const UpstreamView& aView,
                             const PlacementRequest& aRequest,
                             const std::vector<const UpstreamState*>& aUsable,
-                            Instant aNow) const
+                            Instant aNow)
 {
   // One order of the pool that all routers agree on: the first take the light
   // requests.
@@ -91,7 +121,7 @@
     return PlacementHash(aLeft->m_entry.m_id.Str()) <
            PlacementHash(aRight->m_entry.m_id.Str());
   });
-  const std::size_t lightPart = LightPart(aView, pool, aNow);
+  const std::size_t lightPart = LightPart(aView, aRequest.m_service, pool, aNow);
   const bool isHeavy = IsHeavy(aRequest);
   const std::uint64_t key = LocalityKey(aRequest.m_parts);
   struct Ranked
@@ -138,8 +168,8 @@
   PlacementChoice choice;
   choice.m_upstream = aState.m_entry.m_id;
   choice.m_unreadTokens = aView.UnreadTokens(aState, aRequest.m_parts, aNow);
-  choice.m_prefill = Duration(static_cast<Duration::rep>(
-    choice.m_unreadTokens * 1000.0 / m_options.m_prefillTokensPerMs));
+  choice.m_prefill =
+    PrefillTime(choice.m_unreadTokens, AllTokens(aRequest.m_parts));
   choice.m_requests = aView.Requests(aState, aNow);
   choice.m_isLight = !IsHeavy(aRequest);
   choice.m_expected =
@@ -176,7 +206,7 @@
 PlacementResult
 Placement::Choose(const UpstreamView& aView,
                   const PlacementRequest& aRequest,
-                  Instant aNow) const
+                  Instant aNow)
 {
   PlacementResult result;
   const std::vector<const UpstreamState*> usable =
--- a/lib/Gateway/UpstreamView.cpp
+++ b/lib/Gateway/UpstreamView.cpp
@@ -127,6 +127,22 @@
   }
 }
 
+void
+UpstreamView::NoteSlowness(const UpstreamId& aId,
+                           double aSlowness,
+                           Instant aAt)
+{
+  UpstreamState* state = Find(aId);
+  if (state == nullptr || (state->m_reported && state->m_reported->m_at > aAt)) {
+    return;
+  }
+  if (!state->m_reported) {
+    state->m_reported.emplace();
+  }
+  state->m_reported->m_slowness = aSlowness;
+  state->m_reported->m_at = aAt;
+}
+
 void
 UpstreamView::NoteOutcome(const UpstreamId& aId,
                           ExchangeOutcome aOutcome,
