--- a/include/bergamotpaddle/Gateway/Placement.h
+++ b/include/bergamotpaddle/Gateway/Placement.h
@@ -79,8 +79,10 @@
   Duration m_strangerPenalty = std::chrono::milliseconds(400);
   /// What each request under way is charged, in time.
   Duration m_requestPenalty = std::chrono::milliseconds(5);
-  /// Weight of the backlog against this prompt's own reading.
+  /// Weights of the reading ahead and of this prompt's own: what is read again
+  /// delays others too.
   double m_backlogWeight = 4;
+  int m_readingWeight = 3;
   /// What an upstream under suspicion is charged, in time.
   Duration m_suspectPenalty = std::chrono::seconds(5);
   /// What an upstream in another zone is charged, in time.
--- a/lib/Gateway/Placement.cpp
+++ b/lib/Gateway/Placement.cpp
@@ -187,7 +187,7 @@
   const UpstreamState& state = *aCandidate.m_state;
   Duration cost = Scale(aView.PrefillBacklog(state, aNow),
                         m_options.m_backlogWeight) +
-                  aChoice.m_prefill +
+                  aChoice.m_prefill * m_options.m_readingWeight +
                   m_options.m_requestPenalty * aChoice.m_requests;
   cost = Scale(cost + std::chrono::milliseconds(10),
                aView.Slowness(state, aNow));
