--- a/include/bergamotpaddle/Forwarding/CallerConnection.h
+++ b/include/bergamotpaddle/Forwarding/CallerConnection.h
@@ -74,6 +74,7 @@
   std::string HeadOf(int aStatus,
                      std::string_view aReason,
                      const FieldList& aFields) const;
+  void EndAnswer();
   void CheckForLeaving(std::uint64_t aWatch);
 
   Socket m_socket;
--- a/lib/Forwarding/CallerConnection.cpp
+++ b/lib/Forwarding/CallerConnection.cpp
@@ -232,7 +232,6 @@
                             const std::string& aBody)
 {
   m_hasBegunAnswer = true;
-  const bool isClosing = !m_keepAlive || m_state->m_isStopping;
   std::string bytes =
     HeadOf(aAnswer.m_status, aAnswer.m_reason, aAnswer.m_passedFields);
   Append(bytes, "Content-Length: ", aBody.size(), "\r\n\r\n");
@@ -240,7 +239,15 @@
     bytes += aBody;
   }
   co_await Write(std::move(bytes));
-  if (isClosing) {
+  EndAnswer();
+}
+
+void
+CallerConnection::EndAnswer()
+{
+  // A stream that began before the order to stop promised to keep the
+  // connection; the caller may meet its close instead.
+  if (!m_keepAlive || m_state->m_isStopping) {
     m_isOpen = false;
   }
 }
@@ -286,9 +293,7 @@
     std::string lastChunk(kLastChunk);
     co_await Write(std::move(lastChunk));
   }
-  if (!m_keepAlive) {
-    m_isOpen = false;
-  }
+  EndAnswer();
 }
 
 void
--- a/lib/Forwarding/GatewayServer.cpp
+++ b/lib/Forwarding/GatewayServer.cpp
@@ -248,10 +248,10 @@
   }
   if (m_callers.is_open()) {
     m_callers.close();
-    for (auto& [id, session] : m_sessions) {
-      if (session.m_caller->IsIdle()) {
-        session.m_caller->Close();
-      }
+  }
+  for (auto& [id, session] : m_sessions) {
+    if (session.m_caller->IsIdle()) {
+      session.m_caller->Close();
     }
   }
   // Leaves a moment before the platform ends the process by force.
