--- /dev/null
+++ b/unittests/Gateway/CreditBookTest.cpp
@@ -0,0 +1,156 @@
+/// \file
+/// Credit of routers that share one record.
+#include "bergamotpaddle/Gateway/CreditBook.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotpaddle;
+
+namespace {
+
+const AccountId kCafe("cafe");
+constexpr std::uint64_t kPrepaid = 1'000'000;
+
+Instant
+At(double aSeconds)
+{
+  return Instant(Duration(static_cast<Duration::rep>(aSeconds * 1e6)));
+}
+
+CreditHolder
+Router(const std::string& aHost, const std::string& aLife)
+{
+  return { aHost, HolderId(aHost + "/" + aLife), aHost + ":7200" };
+}
+
+/// Writes what \p aBook wants, as if the platform had taken it.
+void
+Draw(CreditBook& aBook, CreditRecord& aRecord, Instant aNow)
+{
+  if (const auto plan = aBook.Plan(aRecord, aNow)) {
+    aBook.Confirm();
+    aRecord = *plan;
+  }
+}
+
+} // namespace
+
+TEST_CASE("credit of a router", "[credit]")
+{
+  CreditRecord record;
+  CreditBook first(Router("a", "1"), {});
+  CreditBook second(Router("b", "1"), {});
+  first.SetPrepaid(kCafe, kPrepaid);
+  second.SetPrepaid(kCafe, kPrepaid);
+
+  SECTION("nothing is allotted before a draw is confirmed")
+  {
+    CHECK(first.Allot(kCafe, 100, At(0)) == CreditVerdict::kOutOfReach);
+    REQUIRE(first.Plan(record, At(0)).has_value());
+    CHECK(first.Allot(kCafe, 100, At(0)) == CreditVerdict::kOutOfReach);
+    first.Confirm();
+    CHECK(first.Allot(kCafe, 100, At(0)) == CreditVerdict::kAllotted);
+  }
+
+  SECTION("a lowering that may not have been written counts as written")
+  {
+    Draw(first, record, At(0));
+    const std::uint64_t before = first.Spendable(kCafe);
+    REQUIRE(before > 0);
+    CreditRecord crowded = record;
+    crowded.m_accounts[kCafe].m_closed = kPrepaid;
+    REQUIRE(first.Plan(crowded, At(60)).has_value());
+    const std::uint64_t during = first.Spendable(kCafe);
+    CHECK(during < before);
+    first.Drop();
+    CHECK(first.Spendable(kCafe) == during);
+  }
+
+  SECTION("idle routers return credit to the one where demand is")
+  {
+    Draw(first, record, At(0));
+    Draw(second, record, At(0));
+    std::uint64_t served = 0;
+    for (int step = 0; step < 400; ++step) {
+      const Instant now = At(1 + step * 0.1);
+      if (first.Allot(kCafe, 5'000, now) == CreditVerdict::kAllotted) {
+        first.Settle(kCafe, 5'000, 5'000);
+        served += 5'000;
+      }
+      Draw(first, record, now);
+      Draw(second, record, now);
+    }
+    CHECK(served >= kPrepaid * 95 / 100);
+    CHECK(served <= kPrepaid);
+  }
+
+  SECTION("a life that was killed stands as spent, and only that")
+  {
+    Draw(first, record, At(0));
+    Draw(second, record, At(0));
+    const std::uint64_t granted =
+      record.m_accounts[kCafe].m_grants[HolderId("a/1")].m_granted;
+    CreditBook again(Router("a", "2"), {});
+    again.SetPrepaid(kCafe, kPrepaid);
+    Draw(again, record, At(1));
+    CHECK(record.m_accounts[kCafe].m_closed == granted);
+    CHECK_FALSE(record.m_holders.contains(HolderId("a/1")));
+    CHECK(record.m_accounts[kCafe].Committed() <= kPrepaid);
+  }
+
+  SECTION("a planned stop loses nothing")
+  {
+    Draw(first, record, At(0));
+    REQUIRE(first.Allot(kCafe, 5'000, At(1)) == CreditVerdict::kAllotted);
+    first.Settle(kCafe, 5'000, 3'000);
+    record = first.PlanStop(record);
+    CHECK(record.m_accounts[kCafe].Committed() == 3'000);
+    CHECK(record.m_accounts[kCafe].Spent() == 3'000);
+    CHECK(record.m_holders.empty());
+
+    SECTION("and nothing is allotted after it")
+    {
+      CHECK(first.Allot(kCafe, 1, At(2)) == CreditVerdict::kOutOfReach);
+    }
+  }
+
+  SECTION("exhausted is said only when it is certain")
+  {
+    Draw(first, record, At(0));
+    CHECK(first.Allot(kCafe, kPrepaid, At(1)) == CreditVerdict::kOutOfReach);
+    CHECK(first.Allot(kCafe, kPrepaid + 1, At(1)) ==
+          CreditVerdict::kExhausted);
+
+    SECTION("what others hold but did not spend may come back")
+    {
+      CreditGrant& other =
+        record.m_accounts[kCafe].m_grants[HolderId("b/1")];
+      other.m_granted = kPrepaid * 9 / 10;
+      Draw(first, record, At(2));
+      CHECK(first.Allot(kCafe, kPrepaid / 2, At(2)) ==
+            CreditVerdict::kOutOfReach);
+      other.m_spent = kPrepaid * 9 / 10;
+      record.m_accounts[kCafe].m_grants[HolderId("b/1")] = other;
+      Draw(first, record, At(3));
+      first.Plan(record, At(3));
+      CHECK(first.Allot(kCafe, kPrepaid / 2, At(3)) ==
+            CreditVerdict::kExhausted);
+    }
+  }
+
+  SECTION("the record survives its encoding, and garbage is refused")
+  {
+    Draw(first, record, At(0));
+    Draw(second, record, At(0));
+    const auto again = CreditRecord::Decode(record.Encode());
+    REQUIRE(again.ok());
+    CHECK(*again == record);
+    CHECK_FALSE(CreditRecord::Decode("{\"holders\":[]}").ok());
+    CHECK_FALSE(CreditRecord::Decode("not JSON").ok());
+    CHECK_FALSE(
+      CreditRecord::Decode(R"({"holders":[],"accounts":{"a":)"
+                           R"({"closed":0,"closed_spent":0,)"
+                           R"("grants":[[3,1,0,0]]}}})")
+        .ok());
+  }
+}
--- /dev/null
+++ b/unittests/Gateway/CreditFuzzTest.cpp
@@ -0,0 +1,201 @@
+/// \file
+/// Routers that draw, spend, die, restart and stop in any order, over a store
+/// that loses answers and carries writes out late, against a plain count.
+#include "bergamotpaddle/Gateway/CreditBook.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <memory>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace bergamotpaddle;
+
+namespace {
+
+const AccountId kKitchen("kitchen");
+constexpr std::uint64_t kPrepaid = 100'000;
+constexpr int kRouters = 3;
+constexpr int kSteps = 300;
+
+/// The platform's store, reduced to one key.
+struct Store
+{
+  CreditRecord m_record;
+  std::uint64_t m_revision = 1;
+
+  bool Write(const CreditRecord& aRecord, std::uint64_t aExpected)
+  {
+    if (aExpected != m_revision) {
+      return false;
+    }
+    m_record = aRecord;
+    ++m_revision;
+    return true;
+  }
+};
+
+/// One host and its present process.
+struct Host
+{
+  std::unique_ptr<CreditBook> m_book;
+  CreditRecord m_known;
+  std::uint64_t m_knownRevision = 0;
+  std::deque<std::uint64_t> m_underWay;
+};
+
+/// A write that the store may still carry out.
+struct LateWrite
+{
+  CreditRecord m_record;
+  std::uint64_t m_expected = 0;
+};
+
+class World
+{
+public:
+  World()
+  {
+    for (int number = 0; number < kRouters; ++number) {
+      Start(number);
+    }
+  }
+
+  void Start(int aHost)
+  {
+    Host& host = m_hosts[aHost];
+    const std::string name = "host" + std::to_string(aHost);
+    host = {};
+    host.m_book = std::make_unique<CreditBook>(
+      CreditHolder{
+        name, HolderId(name + "/" + std::to_string(++m_lives)), name },
+      CreditOptions{});
+    host.m_book->SetPrepaid(kKitchen, kPrepaid);
+  }
+
+  void Ask(int aHost, std::uint64_t aMost)
+  {
+    Host& host = m_hosts[aHost];
+    if (host.m_book->Allot(kKitchen, aMost, m_now) ==
+        CreditVerdict::kAllotted) {
+      host.m_underWay.push_back(aMost);
+      m_spent += aMost; // The oracle: a request may use all it was allotted.
+    }
+  }
+
+  void End(int aHost, std::uint64_t aUnused)
+  {
+    Host& host = m_hosts[aHost];
+    if (host.m_underWay.empty()) {
+      return;
+    }
+    const std::uint64_t most = host.m_underWay.front();
+    host.m_underWay.pop_front();
+    const std::uint64_t unused = std::min(aUnused, most);
+    host.m_book->Settle(kKitchen, most, most - unused);
+    m_spent -= unused;
+  }
+
+  /// 0: answered; 1: done, the answer lost; 2: lost, perhaps done later.
+  void Draw(int aHost, int aFault)
+  {
+    Host& host = m_hosts[aHost];
+    const auto plan = host.m_book->Plan(host.m_known, m_now);
+    if (!plan) {
+      return;
+    }
+    if (aFault == 2) {
+      m_late.push_back({ *plan, host.m_knownRevision });
+      host.m_book->Drop();
+      return;
+    }
+    const bool isWritten = m_store.Write(*plan, host.m_knownRevision);
+    if (aFault == 1) {
+      host.m_book->Drop();
+      return;
+    }
+    if (isWritten) {
+      host.m_book->Confirm();
+      host.m_known = *plan;
+    } else {
+      host.m_book->Drop();
+      host.m_known = m_store.m_record;
+    }
+    host.m_knownRevision = m_store.m_revision;
+  }
+
+  void Stop(int aHost)
+  {
+    Host& host = m_hosts[aHost];
+    if (host.m_underWay.empty()) {
+      host.m_known = m_store.m_record;
+      m_store.Write(host.m_book->PlanStop(host.m_known), m_store.m_revision);
+    }
+    Start(aHost);
+  }
+
+  void CarryOutLate()
+  {
+    if (!m_late.empty()) {
+      m_store.Write(m_late.front().m_record, m_late.front().m_expected);
+      m_late.pop_front();
+    }
+  }
+
+  void Pass(int aMilliseconds)
+  {
+    m_now += std::chrono::milliseconds(aMilliseconds);
+  }
+
+  std::uint64_t Spent() const { return m_spent; }
+  const CreditRecord& Record() const { return m_store.m_record; }
+
+private:
+  Store m_store;
+  std::array<Host, kRouters> m_hosts;
+  std::deque<LateWrite> m_late;
+  Instant m_now{};
+  std::uint64_t m_spent = 0;
+  int m_lives = 0;
+};
+
+} // namespace
+
+TEST_CASE("no order of losses overspends a budget", "[credit][fuzz]")
+{
+  rc::prop("spent never exceeds prepaid", [] {
+    World world;
+    for (int step = 0; step < kSteps; ++step) {
+      const int host = *rc::gen::inRange(0, kRouters);
+      switch (*rc::gen::inRange(0, 10)) {
+        case 0:
+        case 1:
+        case 2:
+        case 3:
+          world.Ask(host, *rc::gen::inRange(1, 4'000));
+          break;
+        case 4:
+          world.End(host, *rc::gen::inRange(0, 4'000));
+          break;
+        case 5:
+        case 6:
+          world.Draw(host, *rc::gen::weightedElement<int>(
+                       { { 6, 0 }, { 1, 1 }, { 1, 2 } }));
+          break;
+        case 7:
+          world.CarryOutLate();
+          break;
+        case 8:
+          world.Pass(*rc::gen::inRange(1, 3'000));
+          break;
+        default:
+          *rc::gen::inRange(0, 4) == 0 ? world.Start(host) : world.Stop(host);
+      }
+      RC_ASSERT(world.Spent() <= kPrepaid);
+    }
+    for (const auto& [account, credit] : world.Record().m_accounts) {
+      RC_ASSERT(credit.Committed() <= kPrepaid);
+    }
+  });
+}
--- /dev/null
+++ b/unittests/Gateway/RouteTableTest.cpp
@@ -0,0 +1,51 @@
+/// \file
+/// Look-ups over a configuration.
+#include "bergamotpaddle/Gateway/RouteTable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotpaddle;
+
+TEST_CASE("a route table", "[routes]")
+{
+  RoutingConfig config;
+  const auto add = [&config](const std::string& aName,
+                             const std::string& aHost,
+                             const std::string& aPrefix) {
+    Route route;
+    route.m_name = aName;
+    route.m_host = aHost;
+    route.m_pathPrefix = aPrefix;
+    config.m_routes.push_back(route);
+  };
+  add("short", "desk.example", "/a/");
+  add("long", "desk.example", "/a/b/");
+  add("other", "dock.example", "/a/");
+  Account account;
+  account.m_id = AccountId("cafe");
+  account.m_apiKeys = { "k1", "k2" };
+  config.m_accounts.push_back(account);
+  const RouteTable table(config);
+
+  SECTION("takes the longest prefix of the host")
+  {
+    CHECK(table.Match("desk.example", "/a/x")->m_name == "short");
+    CHECK(table.Match("desk.example", "/a/b/x")->m_name == "long");
+    CHECK(table.Match("dock.example", "/a/b/x")->m_name == "other");
+  }
+
+  SECTION("matches whole path steps and leaves queries out")
+  {
+    CHECK(table.Match("desk.example", "/ab/x") == nullptr);
+    CHECK(table.Match("desk.example", "/a?/b/") == nullptr);
+    CHECK(table.Match("none.example", "/a/x") == nullptr);
+  }
+
+  SECTION("knows keys by their whole text")
+  {
+    CHECK(table.AccountOfKey("k2")->m_id == account.m_id);
+    CHECK(table.AccountOfKey("k") == nullptr);
+    CHECK(table.AsksForKeys());
+    CHECK_FALSE(RouteTable(RoutingConfig{}).AsksForKeys());
+  }
+}
--- /dev/null
+++ b/unittests/Gateway/UpstreamViewTest.cpp
@@ -0,0 +1,101 @@
+/// \file
+/// What a router believes of upstreams.
+#include "bergamotpaddle/Gateway/PeerDigest.h"
+#include "bergamotpaddle/Gateway/UpstreamView.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotpaddle;
+
+namespace {
+
+const UpstreamId kEngine("e1");
+const ServiceId kPool("pool");
+
+Instant
+AtMs(int aMilliseconds)
+{
+  return Instant(std::chrono::milliseconds(aMilliseconds));
+}
+
+UpstreamEntry
+Entry(std::int64_t aStartedAtMs = 1)
+{
+  UpstreamEntry entry;
+  entry.m_id = kEngine;
+  entry.m_service = kPool;
+  entry.m_address = "127.0.0.1:9";
+  entry.m_slots = 8;
+  entry.m_startedAtMs = aStartedAtMs;
+  return entry;
+}
+
+} // namespace
+
+TEST_CASE("the view of an upstream", "[upstreams]")
+{
+  UpstreamView view;
+  view.Upsert(Entry());
+  const std::vector<PromptPart> parts = { { 1, 500 }, { 2, 700 } };
+
+  SECTION("leaves out one that drains")
+  {
+    CHECK(view.Usable(kPool).size() == 1);
+    UpstreamEntry draining = Entry();
+    draining.m_isDraining = true;
+    view.Upsert(draining);
+    CHECK(view.Usable(kPool).empty());
+  }
+
+  SECTION("remembers prompt parts until a restart under the same id")
+  {
+    view.NoteSent(kEngine, false, Duration(0), parts, AtMs(0));
+    CHECK(view.UnreadTokens(*view.Find(kEngine), parts, AtMs(10)) == 0);
+    view.Upsert(Entry(2));
+    CHECK(view.UnreadTokens(*view.Find(kEngine), parts, AtMs(20)) == 1200);
+  }
+
+  SECTION("counts a part as read only behind those before it")
+  {
+    view.NoteSent(kEngine, false, Duration(0), { { 2, 700 } }, AtMs(0));
+    CHECK(view.UnreadTokens(*view.Find(kEngine), parts, AtMs(10)) == 1200);
+  }
+
+  SECTION("avoids one that cannot be reached at once, one that fails later")
+  {
+    view.NoteOutcome(kEngine, ExchangeOutcome::kFailed, AtMs(0));
+    CHECK(view.Find(kEngine)->m_avoidUntil <= AtMs(0));
+    view.NoteOutcome(kEngine, ExchangeOutcome::kUnreachable, AtMs(0));
+    CHECK(view.Find(kEngine)->m_avoidUntil > AtMs(0));
+
+    SECTION("and forgets it with the first good answer")
+    {
+      view.NoteOutcome(kEngine, ExchangeOutcome::kGood, AtMs(1));
+      CHECK(view.Find(kEngine)->m_avoidUntil <= AtMs(0));
+    }
+  }
+
+  SECTION("adds what peers tell, while it is fresh")
+  {
+    PeerDigest digest;
+    digest.m_from = "b/1";
+    UpstreamDigest line;
+    line.m_upstream = kEngine.Str();
+    line.m_requests = 3;
+    line.m_streams = 2;
+    line.m_prefillLeftUs = 40'000;
+    line.m_newParts = { 1, 2 };
+    digest.m_upstreams.push_back(line);
+    const auto again = PeerDigest::Decode(digest.Encode());
+    REQUIRE(again.ok());
+    CHECK(*again == digest);
+    ApplyDigest(*again, view, AtMs(0));
+    const UpstreamState& state = *view.Find(kEngine);
+    CHECK(view.Requests(state, AtMs(10)) == 3);
+    CHECK(view.PrefillBacklog(state, AtMs(10)) ==
+          std::chrono::milliseconds(30));
+    CHECK(view.UnreadTokens(state, parts, AtMs(10)) == 0);
+    CHECK(view.Requests(state, AtMs(5000)) == 0);
+    CHECK_FALSE(PeerDigest::Decode("\xc1garbage").ok());
+  }
+}
