Credit is borrowed by account and need; 2.5 s of demand are held whatever is left

Cause: a borrower got a part of every account, also of those that it did not need, where it lay idle; as a budget ran out, draws became too small for the time between them.

--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -84,6 +84,10 @@
   /// Part of an account's free credit that all routers together hold without
   /// demand; as a budget runs out they return it to where demand is.
   double m_initialShare = 0.15;
+  /// Demand that is held whatever is left: draws come about once a second.
+  Duration m_leastHeadroom = std::chrono::milliseconds(2500);
+  /// Demand that is asked of another router at a time.
+  Duration m_borrowedSpan = std::chrono::seconds(3);
   /// Part of what is left of a budget that all routers together hold ahead of
   /// demand. A kill of all at once loses that much, and a loss of the platform
   /// is covered by it; trials at 0.3, 0.45 and 0.65 in docs/PLATFORM-DEPLOYMENT.md.
@@ -130,13 +134,19 @@
               std::uint64_t aMost,
               std::uint64_t aUsed);
 
-  /// Gives up \p aShare of what is spendable of each account, for another
-  /// router to spend under our grant. Lost on the way, it stays unspent.
-  std::map<AccountId, std::uint64_t> Lend(double aShare);
+  /// Gives up credit for another router to spend under our grant: of each
+  /// account in \p aWanted what it wants, but at the most \p aShare of what is
+  /// spendable here. Lost on the way, it stays unspent.
+  std::map<AccountId, std::uint64_t> Lend(
+    const std::map<AccountId, std::uint64_t>& aWanted,
+    double aShare);
+  /// Everything spendable, as a wish.
+  std::map<AccountId, std::uint64_t> AllSpendable() const;
   /// Takes what another router lent; it may be spent at once.
   void Borrow(const std::map<AccountId, std::uint64_t>& aTokens);
-  /// Whether a request was refused for want of credit since the last call.
-  bool TakeRefused() { return std::exchange(m_hasRefused, false); }
+  /// What is wanted of accounts that were refused for want of credit since the
+  /// last call.
+  std::map<AccountId, std::uint64_t> TakeWanted(Instant aNow);
 
   /// Whether the shared record should be written soon: some account has less
   /// than half of its headroom left.
@@ -174,6 +184,7 @@
     std::uint64_t m_allotted = 0; ///< Set aside for requests under way.
     std::uint64_t m_lent = 0;     ///< Others spend it under our grant.
     std::uint64_t m_borrowed = 0; ///< We spend it under others' grants.
+    bool m_hasRefused = false;    ///< For want of credit, since asked last.
     std::uint64_t m_freeAtLastRead = 0; ///< Not granted to anyone.
     std::uint64_t m_spentByOthers = 0;  ///< For certain, when read last.
     double m_rateOfOthers = 0;          ///< Tokens a second, when read last.
@@ -206,7 +217,7 @@
   CreditHolder m_self;
   CreditOptions m_options;
   bool m_isStopped = false;
-  bool m_hasRefused = false;
+
   std::size_t m_holders = 1; ///< In the record read last.
   std::map<AccountId, Balance> m_balances;
 };
--- a/lib/Gateway/CreditBook.cpp
+++ b/lib/Gateway/CreditBook.cpp
@@ -154,7 +154,7 @@
   }
   // What others spent only grows, so a budget that does not cover the request
   // beside that never will, unless it is raised.
-  m_hasRefused = true;
+  balance.m_hasRefused = true;
   const bool isCertain = balance.m_prepaid <
                          balance.m_spentByOthers + balance.OwnSpent() + aMost;
   return isCertain ? CreditVerdict::kExhausted : CreditVerdict::kOutOfReach;
@@ -171,20 +171,46 @@
 }
 
 std::map<AccountId, std::uint64_t>
-CreditBook::Lend(double aShare)
+CreditBook::Lend(const std::map<AccountId, std::uint64_t>& aWanted,
+                 double aShare)
 {
   std::map<AccountId, std::uint64_t> lent;
-  for (auto& [account, balance] : m_balances) {
-    const auto tokens = static_cast<std::uint64_t>(
+  for (const auto& [account, wanted] : aWanted) {
+    const auto most = static_cast<std::uint64_t>(
       static_cast<double>(Spendable(account)) * aShare);
-    if (tokens > 0) {
-      balance.m_lent += tokens;
+    if (const std::uint64_t tokens = std::min(wanted, most); tokens > 0) {
+      m_balances[account].m_lent += tokens;
       lent[account] = tokens;
     }
   }
   return lent;
 }
 
+std::map<AccountId, std::uint64_t>
+CreditBook::AllSpendable() const
+{
+  std::map<AccountId, std::uint64_t> all;
+  for (const auto& [account, balance] : m_balances) {
+    all[account] = Spendable(account);
+  }
+  return all;
+}
+
+std::map<AccountId, std::uint64_t>
+CreditBook::TakeWanted(Instant aNow)
+{
+  std::map<AccountId, std::uint64_t> wanted;
+  for (auto& [account, balance] : m_balances) {
+    if (std::exchange(balance.m_hasRefused, false)) {
+      const double span = Seconds(m_options.m_borrowedSpan);
+      wanted[account] = static_cast<std::uint64_t>(
+        std::max(RateAt(balance, aNow) * span,
+                 balance.m_usualRequest * m_options.m_minRequests));
+    }
+  }
+  return wanted;
+}
+
 void
 CreditBook::Borrow(const std::map<AccountId, std::uint64_t>& aTokens)
 {
@@ -231,8 +257,10 @@
                                static_cast<double>(m_holders);
   const double wanted = std::max({ byDemand, byRequests, withoutDemand });
   const double ofDemand = rate == 0 ? 0 : rate / (rate + aBalance.m_rateOfOthers);
-  const double most = static_cast<double>(aBalance.m_rest) *
-                      m_options.m_maxShareOfRest * ofDemand;
+  const double rest = static_cast<double>(aBalance.m_rest) * ofDemand;
+  const double most =
+    std::max(rest * m_options.m_maxShareOfRest,
+             std::min(rest, rate * Seconds(m_options.m_leastHeadroom)));
   return static_cast<std::uint64_t>(
     std::min(wanted, std::max(most, withoutDemand)));
 }
--- a/unittests/Gateway/CreditFuzzTest.cpp
+++ b/unittests/Gateway/CreditFuzzTest.cpp
@@ -131,7 +131,8 @@
     if (aFrom == aTo) {
       return;
     }
-    const auto lent = m_hosts[aFrom].m_book->Lend(0.5);
+    const auto lent = m_hosts[aFrom].m_book->Lend(
+      m_hosts[aFrom].m_book->AllSpendable(), 0.5);
     if (!aIsLost) {
       m_hosts[aTo].m_book->Borrow(lent);
     }
