--- /dev/null
+++ b/unittests/Platform/DialectTest.cpp
@@ -0,0 +1,147 @@
+/// \file
+/// The platform's header fields.
+#include "platform/Dialect.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotpaddle;
+
+namespace {
+
+bool
+Has(const FieldList& aFields, const std::string& aName)
+{
+  return FindField(aFields, aName) != nullptr;
+}
+
+} // namespace
+
+TEST_CASE("a request on the wire", "[dialect]")
+{
+  const WireDialect dialect = platform::MakeDialect();
+  WireRequest wire;
+  wire.m_method = "POST";
+  wire.m_target = "/a/b";
+  wire.m_fields = { { "Host", "Desk.example:8740" },
+                    { "bergamotpaddle-attempt-id", "9c41" },
+                    { "Bergamotpaddle-Model", "m" },
+                    { "Bergamotpaddle-Token-Usage", "1460,80" },
+                    { "Bergamotpaddle-Prompt-Prefix", "5c1e07a2:800,e4402b7d:250" },
+                    { "Bergamotpaddle-Timeout-Ms", "1500" },
+                    { "Authorization", "Bearer k1" },
+                    { "X-Twice", "a" },
+                    { "X-Twice", "b" },
+                    { "Connection", "close, X-Hop" },
+                    { "X-Hop", "1" } };
+
+  SECTION("is read whole")
+  {
+    const CallerRequest request = dialect.m_readRequest(wire);
+    CHECK(request.m_host == "desk.example");
+    CHECK(request.m_attemptId == "9c41");
+    CHECK(request.m_apiKey == "k1");
+    CHECK(request.m_promptTokens == 1460);
+    CHECK(request.m_maxOutputTokens == 80);
+    CHECK(request.m_timeLimit == std::chrono::milliseconds(1500));
+    REQUIRE(request.m_parts.size() == 2);
+    CHECK(request.m_parts[0] == PromptPart{ 0x5c1e07a2, 800 });
+  }
+
+  SECTION("passes on what concerns the upstream, doubled fields too")
+  {
+    const CallerRequest request = dialect.m_readRequest(wire);
+    CHECK(Has(request.m_passedFields, "Bergamotpaddle-Model"));
+    CHECK(Has(request.m_passedFields, "Bergamotpaddle-Attempt-Id"));
+    CHECK(std::count_if(request.m_passedFields.begin(),
+                        request.m_passedFields.end(),
+                        [](const auto& aField) {
+                          return aField.first == "X-Twice";
+                        }) == 2);
+    CHECK_FALSE(Has(request.m_passedFields, "Authorization"));
+    CHECK_FALSE(Has(request.m_passedFields, "X-Hop"));
+    CHECK_FALSE(Has(request.m_passedFields, "Connection"));
+  }
+
+  SECTION("cannot set what only routers set")
+  {
+    for (const char* name : { "Bergamotpaddle-Tenant",
+                              "Bergamotpaddle-Expect-Instance",
+                              "Bergamotpaddle-Request-Priority",
+                              "Bergamotpaddle-Hold",
+                              "Bergamotpaddle-Pin-Ms",
+                              "Bergamotpaddle-Kv-Backup",
+                              "Kv-From",
+                              "kv-fetch" }) {
+      wire.m_fields = { { name, "x" } };
+      CHECK(dialect.m_readRequest(wire).m_passedFields.empty());
+    }
+  }
+
+  SECTION("with figures that cannot be read is taken as having none")
+  {
+    wire.m_fields = { { "Bergamotpaddle-Token-Usage", "many" },
+                      { "Bergamotpaddle-Prompt-Prefix", "5c1e:80,oops" },
+                      { "Bergamotpaddle-Timeout-Ms", "-4" } };
+    const CallerRequest request = dialect.m_readRequest(wire);
+    CHECK_FALSE(request.m_hasTokenUsage);
+    CHECK(request.m_parts.empty());
+    CHECK_FALSE(request.m_timeLimit.has_value());
+  }
+}
+
+TEST_CASE("an upstream's answer on the wire", "[dialect]")
+{
+  const WireDialect dialect = platform::MakeDialect();
+
+  SECTION("tells whether it is signed, and the load of its sender")
+  {
+    const UpstreamAnswer answer = dialect.m_readAnswer(
+      200,
+      "OK",
+      { { "Bergamotpaddle-Response-Seal", "3e1b" },
+        { "Bergamotpaddle-Attempt-Id", "9c41" },
+        { "Bergamotpaddle-Server-Load", "3,1,8,250" },
+        { "Content-Type", "text/event-stream" },
+        { "Transfer-Encoding", "chunked" } });
+    CHECK(answer.m_isSealed);
+    CHECK(answer.m_attemptId == "9c41");
+    CHECK(answer.m_isEventStream);
+    CHECK_FALSE(answer.m_isProvedNotRun);
+    REQUIRE(answer.m_load.has_value());
+    CHECK(answer.m_load->m_waiting == 1);
+    CHECK(answer.m_load->m_slowness == 2.5);
+    CHECK_FALSE(Has(answer.m_passedFields, "Transfer-Encoding"));
+  }
+
+  SECTION("proves by two signs alone that nothing ran")
+  {
+    CHECK(dialect.m_readAnswer(503, "", { { "Bergamotpaddle-Not-Executed", "1" } })
+            .m_isProvedNotRun);
+    CHECK(dialect.m_readAnswer(421, "", {}).m_isProvedNotRun);
+    CHECK_FALSE(dialect.m_readAnswer(503, "", {}).m_isProvedNotRun);
+    CHECK_FALSE(dialect.m_readAnswer(429, "", {}).m_isProvedNotRun);
+  }
+
+  SECTION("with a load that cannot be read has none")
+  {
+    CHECK_FALSE(
+      dialect.m_readAnswer(200, "", { { "Bergamotpaddle-Server-Load", "1,x,8" } })
+        .m_load.has_value());
+  }
+}
+
+TEST_CASE("what a router adds to a request", "[dialect]")
+{
+  const WireDialect dialect = platform::MakeDialect();
+  UpstreamCall call;
+  call.m_expected = UpstreamId("i-1");
+  call.m_account = AccountId("cafe");
+  call.m_timeLeft = std::chrono::milliseconds(420);
+  call.m_urgency = 17;
+  const FieldList fields = dialect.m_writeCall(call);
+  CHECK(*FindField(fields, "Bergamotpaddle-Expect-Instance") == "i-1");
+  CHECK(*FindField(fields, "Bergamotpaddle-Tenant") == "cafe");
+  CHECK(*FindField(fields, "Bergamotpaddle-Timeout-Ms") == "420");
+  CHECK(*FindField(fields, "Bergamotpaddle-Request-Priority") == "9");
+  CHECK_FALSE(Has(fields, "Last-Event-Id"));
+}
--- /dev/null
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -0,0 +1,120 @@
+/// \file
+/// What the operator, the upstreams and the platform itself write.
+#include "platform/Documents.h"
+#include "platform/Settings.h"
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
+
+using namespace bergamotpaddle;
+using namespace bergamotpaddle::platform;
+
+TEST_CASE("the operator's configuration", "[documents]")
+{
+  const std::string text = R"({"version":7,"routes":[
+    {"name":"r1","host":"Desk.example","pathPrefix":"/a/","kind":"streaming",
+     "timeoutMs":5000,"sloMs":300,"priority":1,"attempts":2,"public":false,
+     "resumable":true,"gapAimMs":200,"trafficSplit":
+     [{"service":"s1","weight":90},{"service":"s2","weight":10}]},
+    {"name":"r2","host":"desk.example","pathPrefix":"/b/","kind":"newer",
+     "service":"s2","attempts":1,"public":true}],
+   "services":[{"name":"s1","maxConns":230,"engine":{"slots":32,"stride":4,
+     "kvCapacity":453136}},{"name":"s2"}],
+   "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100,"headerTimeoutMs":3000,
+     "idleTimeoutMs":15000},
+   "tenants":[{"name":"cafe","apiKeys":["k"],"priority":1,"prepaid":6729959}],
+   "aNewField":{}})";
+
+  SECTION("is read into the product's types")
+  {
+    const auto config = ReadConfiguration(text);
+    REQUIRE(config.ok());
+    CHECK(config->m_version == 7);
+    REQUIRE(config->m_routes.size() == 2);
+    CHECK(config->m_routes[0].m_kind == CallKind::kStream);
+    CHECK(config->m_routes[0].MayRunAgain());
+    CHECK(config->m_routes[0].m_host == "desk.example");
+    CHECK(config->m_routes[0].m_services.size() == 2);
+    CHECK(config->m_services[0].m_tokensPerEvent == 4);
+    CHECK(config->m_accounts[0].m_prepaid == 6729959);
+    CHECK(config->m_limits.m_maxBodyBytes == 100);
+  }
+
+  SECTION("treats an unknown kind as one that may not repeat")
+  {
+    CHECK(ReadConfiguration(text)->m_routes[1].m_kind == CallKind::kRunOnce);
+  }
+
+  SECTION("that is not whole is refused whole")
+  {
+    CHECK_FALSE(ReadConfiguration("{").ok());
+    CHECK_FALSE(ReadConfiguration(R"({"version":1})").ok());
+    CHECK_FALSE(
+      ReadConfiguration(R"({"version":1,"routes":[{}],"services":[]})").ok());
+  }
+}
+
+TEST_CASE("an upstream's entry", "[documents]")
+{
+  const std::string text =
+    R"({"service":"s","addr":"10.0.0.9:80","zone":"a","slots":6,)"
+    R"("state":"ready","coldLeftMs":0,"born":1700000000000,"seq":4})";
+
+  SECTION("is read")
+  {
+    const auto entry = ReadUpstreamEntry("i-1", text);
+    REQUIRE(entry.ok());
+    CHECK(entry->m_address == "10.0.0.9:80");
+    CHECK(entry->m_startedAtMs == 1700000000000);
+    CHECK_FALSE(entry->m_isDraining);
+  }
+
+  SECTION("of another writer names no upstream")
+  {
+    for (const char* garbage :
+         { "", "not JSON", "[]", R"({"service":"s"})",
+           R"({"service":1,"addr":"a","zone":"a","slots":6,"state":"ready"})",
+           R"({"service":"s","addr":"a","zone":"a","slots":"6","state":"ready"})",
+           R"({"service":"s","addr":"a","zone":"a","slots":6,"state":"odd"})" }) {
+      CHECK_FALSE(ReadUpstreamEntry("i-1", garbage).ok());
+    }
+  }
+}
+
+TEST_CASE("the settings file", "[documents]")
+{
+  const std::string path = "/tmp/bergamotpaddle-settings-test.json";
+  const auto load = [&path](const std::string& aText) {
+    std::ofstream(path) << aText;
+    LoadedSettings loaded = LoadSettings(path);
+    std::remove(path.c_str());
+    return loaded;
+  };
+
+  SECTION("is read, with the first peers from its seeds")
+  {
+    const LoadedSettings loaded = load(
+      R"({"node":"front-1","zone":"a","ip":"10.1.0.19","listen":)"
+      R"({"front":"10.1.0.19:8740","ready":"10.1.0.19:8749"},)"
+      R"("portRange":[7200,7215],"seeds":["10.2.0.13:8748"],)"
+      R"("bounds":{"graceS":6,"drainMs":1500},)"
+      R"("provider":{"addr":"10.200.1.7:8742"},"later":1})");
+    CHECK(loaded.m_findings.empty());
+    CHECK(loaded.m_settings.m_firstPeers ==
+          std::vector<std::string>{ "10.2.0.13:7200" });
+    CHECK(loaded.m_settings.m_grace == std::chrono::seconds(6));
+  }
+
+  SECTION("with faults names all of them at once")
+  {
+    const LoadedSettings loaded =
+      load(R"({"node":7,"portRange":[70000],"bounds":{"graceS":"x"}})");
+    CHECK(loaded.m_findings.size() >= 7);
+  }
+
+  SECTION("that is not there is a finding")
+  {
+    CHECK(LoadSettings("/tmp/no-such-file.json").m_findings.size() == 1);
+  }
+}
--- /dev/null
+++ b/unittests/Platform/Loopback.h
@@ -0,0 +1,293 @@
+/// \file
+/// Raw callers and scripted upstreams over loopback sockets, all on the test's
+/// own thread.
+#pragma once
+
+#include "platform/Dialect.h"
+
+#include "bergamotpaddle/Forwarding/GatewayServer.h"
+
+#include <boost/asio.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <deque>
+#include <sstream>
+#include <string>
+
+namespace bergamotpaddle {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+/// An upstream that answers each connection with the next script.
+class ScriptedUpstream
+{
+public:
+  struct Script
+  {
+    std::string m_answer;     ///< Raw bytes; "{ID}" becomes the attempt's id.
+    bool m_isHeld = false;    ///< Keep the connection open afterwards.
+    bool m_isReset = false;   ///< End it by a reset.
+  };
+
+  explicit ScriptedUpstream(asio::io_context& aIo)
+    : m_acceptor(aIo, { asio::ip::make_address("127.0.0.1"), 0 })
+  {
+    asio::co_spawn(aIo, Accept(), asio::detached);
+  }
+
+  std::string Address() const
+  {
+    return "127.0.0.1:" +
+           std::to_string(m_acceptor.local_endpoint().port());
+  }
+
+  std::deque<Script> m_scripts;
+  std::vector<std::string> m_requests; ///< Heads and bodies as they came.
+  int m_open = 0;                      ///< Connections open now.
+
+private:
+  asio::awaitable<void> Accept()
+  {
+    while (true) {
+      Tcp::socket socket =
+        co_await m_acceptor.async_accept(asio::use_awaitable);
+      asio::co_spawn(
+        m_acceptor.get_executor(), Serve(std::move(socket)), asio::detached);
+    }
+  }
+
+  static std::string IdOf(const std::string& aRequest)
+  {
+    const std::string name = "Attempt-Id: ";
+    const std::size_t begin = aRequest.find(name) + name.size();
+    return aRequest.substr(begin, aRequest.find('\r', begin) - begin);
+  }
+
+  asio::awaitable<void> Serve(Tcp::socket aSocket)
+  {
+    ++m_open;
+    boost::system::error_code error;
+    std::string request(65536, '\0');
+    const std::size_t count = co_await aSocket.async_read_some(
+      asio::buffer(request),
+      asio::redirect_error(asio::use_awaitable, error));
+    request.resize(count);
+    m_requests.push_back(request);
+    Script script;
+    if (!m_scripts.empty()) {
+      script = m_scripts.front();
+      m_scripts.pop_front();
+    }
+    std::string answer = script.m_answer;
+    if (const std::size_t at = answer.find("{ID}"); at != std::string::npos) {
+      answer.replace(at, 4, IdOf(request));
+    }
+    co_await asio::async_write(
+      aSocket,
+      asio::buffer(answer),
+      asio::redirect_error(asio::use_awaitable, error));
+    if (script.m_isHeld) {
+      char byte = 0;
+      co_await aSocket.async_read_some(
+        asio::buffer(&byte, 1),
+        asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (script.m_isReset) {
+      aSocket.set_option(asio::socket_base::linger(true, 0), error);
+    }
+    aSocket.close(error);
+    --m_open;
+  }
+
+  Tcp::acceptor m_acceptor;
+};
+
+/// A gateway with two upstreams of one service.
+class GatewayFixture
+{
+public:
+  GatewayFixture()
+    : m_log(-1, "test", {})
+    , m_state(platform::MakeDialect(),
+              {},
+              { "host", HolderId("host/1"), "127.0.0.1:1" },
+              {},
+              m_log)
+    , m_server(m_io, m_state, Options())
+    , m_first(m_io)
+    , m_second(m_io)
+  {
+    m_state.m_routes = std::make_shared<const RouteTable>(Config());
+    AddUpstream("u1", m_first);
+    AddUpstream("u2", m_second);
+    m_startStatus = m_server.Start();
+  }
+
+  /// Sends \p aBytes and collects what comes until the connection ends or
+  /// \p aWait passes; the caller then leaves.
+  std::string Call(const std::string& aBytes,
+                   std::chrono::milliseconds aWait = std::chrono::seconds(2))
+  {
+    std::string answer;
+    bool isDone = false;
+    Tcp::socket socket(m_io);
+    asio::co_spawn(
+      m_io, Exchange(socket, aBytes, answer, isDone), asio::detached);
+    const auto end = std::chrono::steady_clock::now() + aWait;
+    while (!isDone && std::chrono::steady_clock::now() < end) {
+      m_io.run_for(std::chrono::milliseconds(5));
+    }
+    m_wasClosed = isDone;
+    boost::system::error_code ignored;
+    socket.close(ignored);
+    m_io.run_for(std::chrono::milliseconds(50));
+    return answer;
+  }
+
+  void RunFor(std::chrono::milliseconds aTime) { m_io.run_for(aTime); }
+
+  static std::string Request(const std::string& aPath,
+                             const std::string& aMore = {},
+                             const std::string& aBody = "body")
+  {
+    return "POST " + aPath +
+           " HTTP/1.1\r\nHost: desk.example\r\n"
+           "Bergamotpaddle-Attempt-Id: a1b2\r\n"
+           "Bergamotpaddle-Timeout-Ms: 1500\r\n"
+           "Authorization: Bearer key\r\n" +
+           aMore + "Connection: close\r\nContent-Length: " +
+           std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  }
+
+  /// A signed whole answer.
+  static std::string Good(const std::string& aBody = "done")
+  {
+    return "HTTP/1.1 200 OK\r\nBergamotpaddle-Attempt-Id: {ID}\r\n"
+           "Bergamotpaddle-Response-Seal: s\r\nContent-Length: " +
+           std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  }
+
+  static std::string StreamHead()
+  {
+    return "HTTP/1.1 200 OK\r\nBergamotpaddle-Attempt-Id: {ID}\r\n"
+           "Bergamotpaddle-Response-Seal: s\r\n"
+           "Content-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+  }
+
+  static std::string Chunk(const std::string& aText)
+  {
+    return Hex(aText.size()) + "\r\n" + aText + "\r\n";
+  }
+
+  std::string m_callers; ///< Where the gateway listens.
+  asio::io_context m_io{ 1 };
+  EventLog m_log;
+  GatewayState m_state;
+  GatewayServer m_server;
+  ScriptedUpstream m_first;
+  ScriptedUpstream m_second;
+  absl::Status m_startStatus;
+  bool m_wasClosed = false; ///< The gateway ended the last call's connection.
+
+private:
+  static int FreePort()
+  {
+    asio::io_context io;
+    Tcp::acceptor probe(io, { asio::ip::make_address("127.0.0.1"), 0 });
+    return probe.local_endpoint().port();
+  }
+
+  static std::string Hex(std::size_t aNumber)
+  {
+    std::ostringstream text;
+    text << std::hex << aNumber;
+    return text.str();
+  }
+
+  static RoutingConfig Config()
+  {
+    RoutingConfig config;
+    config.m_version = 1;
+    const auto add = [&config](const std::string& aPath,
+                               CallKind aKind,
+                               bool aIsResumable,
+                               int aAttempts) {
+      Route route;
+      route.m_name = aPath;
+      route.m_host = "desk.example";
+      route.m_pathPrefix = aPath;
+      route.m_kind = aKind;
+      route.m_isResumable = aIsResumable;
+      route.m_maxAttempts = aAttempts;
+      route.m_timeout = std::chrono::milliseconds(1200);
+      route.m_objective = std::chrono::milliseconds(100);
+      route.m_services = { { ServiceId("desk"), 1 } };
+      config.m_routes.push_back(route);
+    };
+    add("/once/", CallKind::kRunOnce, false, 1);
+    add("/again/", CallKind::kRepeatable, false, 2);
+    add("/stream/", CallKind::kStream, false, 1);
+    add("/resume/", CallKind::kStream, true, 2);
+    Service service;
+    service.m_id = ServiceId("desk");
+    config.m_services = { service };
+    Account account;
+    account.m_id = AccountId("cafe");
+    account.m_apiKeys = { "key" };
+    config.m_accounts = { account };
+    config.m_limits.m_maxBodyBytes = 1000;
+    return config;
+  }
+
+  void AddUpstream(const std::string& aId, const ScriptedUpstream& aUpstream)
+  {
+    UpstreamEntry entry;
+    entry.m_id = UpstreamId(aId);
+    entry.m_service = ServiceId("desk");
+    entry.m_address = aUpstream.Address();
+    entry.m_slots = 8;
+    m_state.m_upstreams.Upsert(entry);
+  }
+
+  GatewayServerOptions Options()
+  {
+    GatewayServerOptions options;
+    m_callers = "127.0.0.1:" + std::to_string(FreePort());
+    options.m_callerAddress = m_callers;
+    options.m_acceptAfterStop = std::chrono::milliseconds(100);
+    return options;
+  }
+
+  asio::awaitable<void> Exchange(Tcp::socket& aSocket,
+                                 std::string aBytes,
+                                 std::string& aAnswer,
+                                 bool& aIsDone)
+  {
+    boost::system::error_code error;
+    const auto into = [&error] {
+      return asio::redirect_error(asio::use_awaitable, error);
+    };
+    const std::size_t colon = m_callers.rfind(':');
+    const Tcp::endpoint gateway(
+      asio::ip::make_address("127.0.0.1"),
+      static_cast<std::uint16_t>(std::stoi(m_callers.substr(colon + 1))));
+    co_await aSocket.async_connect(gateway, into());
+    co_await asio::async_write(aSocket, asio::buffer(aBytes), into());
+    std::array<char, 4096> bytes{};
+    while (!error) {
+      const std::size_t count =
+        co_await aSocket.async_read_some(asio::buffer(bytes), into());
+      aAnswer.append(bytes.data(), count);
+    }
+    if (error != asio::error::operation_aborted) {
+      aIsDone = true;
+    }
+  }
+
+};
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/unittests/Platform/StoreClientTest.cpp
@@ -0,0 +1,236 @@
+/// \file
+/// The client of the platform's store against a small stand-in with faults.
+#include "platform/StoreRelay.h"
+
+#include <boost/asio.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <catch2/catch.hpp>
+
+using namespace bergamotpaddle;
+using namespace bergamotpaddle::platform;
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Answers every call with what the test's hook says.
+class StoreStandIn
+{
+public:
+  struct Reply
+  {
+    int m_status = 200;
+    std::string m_body;
+    bool m_isSilent = false; ///< No answer at all.
+  };
+  using Hook = std::function<Reply(const std::string& aTarget,
+                                   const std::string& aBody)>;
+
+  StoreStandIn(asio::io_context& aIo, Hook aHook)
+    : m_acceptor(aIo, { asio::ip::make_address("127.0.0.1"), 0 })
+    , m_hook(std::move(aHook))
+  {
+    asio::co_spawn(aIo, Accept(), asio::detached);
+  }
+
+  std::string Address() const
+  {
+    return "127.0.0.1:" +
+           std::to_string(m_acceptor.local_endpoint().port());
+  }
+  int Calls() const { return m_calls; }
+
+private:
+  asio::awaitable<void> Accept()
+  {
+    while (true) {
+      auto socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+      asio::co_spawn(
+        m_acceptor.get_executor(), Serve(std::move(socket)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(asio::ip::tcp::socket aSocket)
+  {
+    boost::beast::flat_buffer buffer;
+    http::request<http::string_body> request;
+    co_await http::async_read(aSocket, buffer, request, asio::use_awaitable);
+    ++m_calls;
+    const Reply reply =
+      m_hook(std::string(request.target()), request.body());
+    if (reply.m_isSilent) {
+      m_silent.push_back(std::move(aSocket));
+      co_return;
+    }
+    http::response<http::string_body> response(
+      http::int_to_status(static_cast<unsigned>(reply.m_status)), 11);
+    response.body() = reply.m_body;
+    response.prepare_payload();
+    co_await http::async_write(aSocket, response, asio::use_awaitable);
+  }
+
+  asio::ip::tcp::acceptor m_acceptor;
+  Hook m_hook;
+  int m_calls = 0;
+  std::vector<asio::ip::tcp::socket> m_silent;
+};
+
+/// Runs one call to its end.
+template<typename T>
+T
+Await(asio::io_context& aIo, asio::awaitable<T> aCall)
+{
+  std::optional<T> result;
+  auto run = [](asio::awaitable<T> aCall,
+                std::optional<T>* aResult) -> asio::awaitable<void> {
+    aResult->emplace(co_await std::move(aCall));
+  };
+  asio::co_spawn(aIo, run(std::move(aCall), &result), asio::detached);
+  while (!result) {
+    aIo.run_one_for(std::chrono::milliseconds(50));
+  }
+  return std::move(*result);
+}
+
+} // namespace
+
+TEST_CASE("the client of the platform's store", "[store]")
+{
+  asio::io_context io(1);
+  StoreStandIn::Reply next;
+  std::string lastTarget;
+  std::string lastBody;
+  StoreStandIn store(
+    io, [&](const std::string& aTarget, const std::string& aBody) {
+      lastTarget = aTarget;
+      lastBody = aBody;
+      return next;
+    });
+  StoreClient client(io, store.Address());
+
+  SECTION("reads an item, and one that is not there")
+  {
+    next.m_body =
+      R"({"key":"my/leader","value":"bm9kZS0x","rev":412,"currentRev":530})";
+    const auto item = Await(io, client.Get("my/leader"));
+    REQUIRE(item.ok());
+    CHECK(item->m_value == "node-1");
+    CHECK(item->m_revision == 412);
+    CHECK(lastTarget == "/kv-key?key=my/leader");
+    next = { 404, "" };
+    CHECK(Await(io, client.Get("my/leader"))->m_revision == 0);
+  }
+
+  SECTION("reads a range page by page from the first page's revision")
+  {
+    int page = 0;
+    StoreStandIn pages(io, [&page](const std::string& aTarget,
+                                   const std::string&) {
+      ++page;
+      if (page == 1) {
+        return StoreStandIn::Reply{
+          200,
+          R"({"items":[{"key":"s/1","value":"YQ==","rev":3}],)"
+          R"("truncated":true,"currentRev":9})"
+        };
+      }
+      CHECK(aTarget == "/kv-range?pathPrefix=s/&after=s/1");
+      return StoreStandIn::Reply{
+        200,
+        R"({"items":[{"key":"s/2","value":"Yg==","rev":11}],)"
+        R"("truncated":false,"currentRev":12})"
+      };
+    });
+    StoreClient paging(io, pages.Address());
+    const auto items = Await(io, paging.List("s/"));
+    REQUIRE(items.ok());
+    CHECK(items->m_items.size() == 2);
+    CHECK(items->m_storeRevision == 9);
+  }
+
+  SECTION("tells changes, removals and a history that is gone")
+  {
+    next.m_body = R"({"events":[{"key":"s/1","value":"YQ==","rev":412},)"
+                  R"({"key":"s/2","rev":413,"deleted":true}],)"
+                  R"("currentRev":413})";
+    const auto changes =
+      Await(io, client.Watch("s/", 411, std::chrono::milliseconds(100)));
+    REQUIRE(changes.ok());
+    CHECK_FALSE(changes->m_items[0].m_isRemoved);
+    CHECK(changes->m_items[1].m_isRemoved);
+    CHECK(changes->m_storeRevision == 413);
+    next = { 410, "" };
+    CHECK(absl::IsOutOfRange(
+      Await(io, client.Watch("s/", 411, std::chrono::milliseconds(100)))
+        .status()));
+  }
+
+  SECTION("writes under a condition and shows what stood in the way")
+  {
+    next.m_body = R"({"rev":7})";
+    const auto written = Await(io, client.CompareAndSwap("k", 6, "v"));
+    REQUIRE(written.ok());
+    CHECK(written->m_isWritten);
+    CHECK(written->m_revision == 7);
+    CHECK(lastBody.find(R"("expectRev":[{"key":"k","rev":6}])") !=
+          std::string::npos);
+    next = { 412, R"({"items":[{"key":"k","value":"b3RoZXI=","rev":8}]})" };
+    const auto refused = Await(io, client.CompareAndSwap("k", 6, "v"));
+    REQUIRE(refused.ok());
+    CHECK_FALSE(refused->m_isWritten);
+    CHECK(refused->m_present->m_value == "other");
+  }
+
+  SECTION("never takes silence, a failure or garbage for an outcome")
+  {
+    next = { 200, "", true };
+    CHECK(absl::IsUnavailable(
+      Await(io, client.CompareAndSwap("k", 6, "v")).status()));
+    CHECK_FALSE(client.IsReachable());
+    for (int status : { 429, 503 }) {
+      next = { status, "" };
+      CHECK(absl::IsUnavailable(
+        Await(io, client.CompareAndSwap("k", 6, "v")).status()));
+    }
+    next = { 200, "not JSON" };
+    CHECK(absl::IsUnavailable(Await(io, client.Get("k")).status()));
+  }
+
+  SECTION("goes through another router while the store turns it away")
+  {
+    StoreClient other(io, store.Address());
+    StoreRelay relay(io, other);
+    asio::ip::tcp::acceptor probe(
+      io, { asio::ip::make_address("127.0.0.1"), 0 });
+    const std::string relayAddress =
+      "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+    probe.close();
+    REQUIRE(relay
+              .Start(relayAddress,
+                     [](const std::string&, const std::string&) {
+                       return std::optional<std::string>();
+                     })
+              .ok());
+    StoreStandIn refusing(io, [](const std::string&, const std::string&) {
+      return StoreStandIn::Reply{ 503, "" };
+    });
+    StoreClient turnedAway(io, refusing.Address());
+    turnedAway.SetRelays({ relayAddress });
+    next.m_body = R"({"rev":7})";
+    const auto written = Await(io, turnedAway.CompareAndSwap("k", 6, "v"));
+    REQUIRE(written.ok());
+    CHECK(written->m_isWritten);
+    CHECK(refusing.Calls() == 1);
+
+    SECTION("and does not ask the store at each call meanwhile")
+    {
+      CHECK(Await(io, turnedAway.CompareAndSwap("k", 6, "v")).ok());
+      CHECK(refusing.Calls() == 1);
+    }
+  }
+}
