--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -19,8 +19,8 @@
 {
 public:
   /// Upper bounds in milliseconds; the last class has none.
-  static constexpr std::array<int, 12> kBoundsMs = { 1,   2,   5,   10,
-                                                     20,  50,  100, 200,
+  static constexpr std::array<int, 12> kBoundsMs = { 1,   2,   5,    10,
+                                                     20,  50,  100,  200,
                                                      300, 500, 1000, 5000 };
   void Note(Duration aValue);
   std::uint64_t Count() const { return m_count; }
--- a/include/bergamotpaddle/Forwarding/PeerLink.h
+++ b/include/bergamotpaddle/Forwarding/PeerLink.h
@@ -10,6 +10,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <set>
 
@@ -61,6 +62,8 @@
   std::string m_life;
   PeerLinkOptions m_options;
   Udp::socket m_socket;
+  boost::asio::steady_timer m_next; ///< When the next datagram leaves.
+  Instant m_nextAt{};
   std::map<Udp::endpoint, Instant> m_peers; ///< When each was heard last.
   std::map<UpstreamId, std::set<std::uint64_t>> m_changed;
   std::set<UpstreamId> m_toldLast; ///< Told again once: the end of a load.
--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -91,7 +91,7 @@
   PlacementChoice m_choice;
   std::string m_upstreamAddress;
   std::shared_ptr<UpstreamExchange> m_exchange;
-  UpstreamAnswer m_answer;  ///< The latest whole failure.
+  UpstreamAnswer m_answer; ///< The latest whole failure.
   std::string m_answerBody;
   bool m_hasAnswer = false;
   // For the log.
--- a/include/bergamotpaddle/Forwarding/UpstreamExchange.h
+++ b/include/bergamotpaddle/Forwarding/UpstreamExchange.h
@@ -40,7 +40,8 @@
   Awaitable<bool> Connect(std::string aAddress);
 
   /// Starts to send; the answer may come before all is sent.
-  void BeginSending(std::string aHead, std::shared_ptr<const std::string> aBody);
+  void BeginSending(std::string aHead,
+                    std::shared_ptr<const std::string> aBody);
 
   /// The status line and fields, or nullopt.
   struct Head
--- a/include/bergamotpaddle/Forwarding/WireDialect.h
+++ b/include/bergamotpaddle/Forwarding/WireDialect.h
@@ -32,7 +32,7 @@
   std::string m_attemptId; ///< Names one try of a caller; new for each try.
   std::optional<Duration> m_timeLimit; ///< How long the caller waits.
   std::optional<std::string> m_apiKey;
-  std::vector<PromptPart> m_parts;     ///< Of the prompt, in order.
+  std::vector<PromptPart> m_parts; ///< Of the prompt, in order.
   bool m_hasTokenUsage = false;
   std::uint64_t m_promptTokens = 0;
   std::uint64_t m_maxOutputTokens = 0;
@@ -58,7 +58,7 @@
   std::string m_attemptId; ///< Echo; empty if there is none.
   bool m_isSealed = false; ///< Bears the upstream's signature.
   bool m_isProvedNotRun = false;
-  bool m_isEncoded = false;     ///< The body is not what the upstream made.
+  bool m_isEncoded = false; ///< The body is not what the upstream made.
   bool m_isEventStream = false;
   std::optional<ReportedLoad> m_load;
   FieldList m_passedFields; ///< What callers get unchanged.
@@ -69,9 +69,8 @@
 {
   std::function<CallerRequest(const WireRequest&)> m_readRequest;
   std::function<FieldList(const UpstreamCall&)> m_writeCall;
-  std::function<UpstreamAnswer(int aStatus,
-                               const std::string& aReason,
-                               const FieldList&)>
+  std::function<
+    UpstreamAnswer(int aStatus, const std::string& aReason, const FieldList&)>
     m_readAnswer;
 };
 
--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -26,9 +26,9 @@
 /// A router as the shared record names it.
 struct CreditHolder
 {
-  std::string m_host;     ///< Stable over restarts: one process at a time.
-  HolderId m_life;        ///< This run of the process.
-  std::string m_address;  ///< Where other routers reach it.
+  std::string m_host;    ///< Stable over restarts: one process at a time.
+  HolderId m_life;       ///< This run of the process.
+  std::string m_address; ///< Where other routers reach it.
   auto operator<=>(const CreditHolder&) const = default;
 };
 
@@ -87,8 +87,8 @@
   /// What routers hold dies with them, so a budget near its end is drawn in
   /// small steps. All together hold the part of the budget by which its rest
   /// exceeds m_fadeEnd, times m_fadeSlope, and at least m_leastShare.
-  double m_fadeEnd = 0.27;
-  double m_fadeSlope = 0.8;
+  double m_fadeEnd = 0.2;
+  double m_fadeSlope = 1.0;
   double m_leastShare = 0.025;
   /// Demand that is asked of another router at a time.
   Duration m_borrowedSpan = std::chrono::seconds(3);
@@ -177,8 +177,8 @@
   struct Balance
   {
     std::uint64_t m_prepaid = 0;
-    std::uint64_t m_granted = 0;  ///< Confirmed.
-    std::uint64_t m_planned = 0;  ///< In the write under way.
+    std::uint64_t m_granted = 0; ///< Confirmed.
+    std::uint64_t m_planned = 0; ///< In the write under way.
     bool m_hasPlan = false;
     std::uint64_t m_spent = 0;    ///< Settled.
     std::uint64_t m_allotted = 0; ///< Set aside for requests under way.
@@ -188,9 +188,9 @@
     std::uint64_t m_freeAtLastRead = 0; ///< Not granted to anyone.
     std::uint64_t m_spentByOthers = 0;  ///< For certain, when read last.
     double m_rateOfOthers = 0;          ///< Tokens a second, when read last.
-    std::uint64_t m_rest = 0; ///< Of the budget beyond what is spent.
-    double m_demandRate = 0;      ///< Tokens a second, moving average.
-    double m_usualRequest = 0;    ///< Greatest size, moving average.
+    std::uint64_t m_rest = 0;           ///< Of the budget beyond what is spent.
+    double m_demandRate = 0;            ///< Tokens a second, moving average.
+    double m_usualRequest = 0;          ///< Greatest size, moving average.
     std::optional<Instant> m_lastDemand;
 
     /// What our own grant allows, whichever write takes effect.
--- a/include/bergamotpaddle/Gateway/PeerDigest.h
+++ b/include/bergamotpaddle/Gateway/PeerDigest.h
@@ -21,8 +21,8 @@
   int m_requests = 0;
   int m_streams = 0;
   std::int64_t m_prefillLeftUs = 0;
-  double m_slowness = 0;            ///< As reported; 0: no fresh report.
-  std::int64_t m_slownessAgeUs = 0; ///< Of that report.
+  double m_slowness = 0;                 ///< As reported; 0: no fresh report.
+  std::int64_t m_slownessAgeUs = 0;      ///< Of that report.
   std::vector<std::uint64_t> m_newParts; ///< Prompt parts sent since the last.
   MSGPACK_DEFINE(m_upstream,
                  m_requests,
--- a/include/bergamotpaddle/Gateway/Placement.h
+++ b/include/bergamotpaddle/Gateway/Placement.h
@@ -38,7 +38,7 @@
   Duration m_prefill{ 0 };  ///< Expected reading of this prompt.
   Duration m_expected{ 0 }; ///< Expected wait for the first byte.
   bool m_isLight = false;
-  int m_requests = 0;       ///< Under way there.
+  int m_requests = 0; ///< Under way there.
 };
 
 /// The outcome: an upstream, or why there is none.
--- a/include/bergamotpaddle/Gateway/RouteTable.h
+++ b/include/bergamotpaddle/Gateway/RouteTable.h
@@ -41,13 +41,13 @@
   std::string m_host;
   std::string m_pathPrefix;
   CallKind m_kind = CallKind::kRunOnce;
-  Duration m_timeout{ 0 };       ///< Longest time a caller is kept waiting.
-  Duration m_objective{ 0 };     ///< Of the answer, or of its first event.
-  Duration m_gapObjective{ 0 };  ///< Longest pause between events.
-  int m_priority = 0;            ///< 0 is the most urgent.
-  int m_maxAttempts = 1;         ///< Upstreams that may run one request.
-  bool m_isPublic = false;       ///< Needs no API key.
-  bool m_isResumable = false;    ///< A stream may go on at another upstream.
+  Duration m_timeout{ 0 };      ///< Longest time a caller is kept waiting.
+  Duration m_objective{ 0 };    ///< Of the answer, or of its first event.
+  Duration m_gapObjective{ 0 }; ///< Longest pause between events.
+  int m_priority = 0;           ///< 0 is the most urgent.
+  int m_maxAttempts = 1;        ///< Upstreams that may run one request.
+  bool m_isPublic = false;      ///< Needs no API key.
+  bool m_isResumable = false;   ///< A stream may go on at another upstream.
   std::vector<ServiceShare> m_services;
   auto operator<=>(const Route&) const = default;
 
--- a/include/bergamotpaddle/Gateway/UpstreamView.h
+++ b/include/bergamotpaddle/Gateway/UpstreamView.h
@@ -67,12 +67,13 @@
 struct UpstreamState
 {
   UpstreamEntry m_entry;
+  std::uint64_t m_hash = 0; ///< Of its id, for placement.
   std::optional<ReportedLoad> m_reported;
-  int m_requests = 0;           ///< Ours under way.
-  int m_streams = 0;            ///< Of these, decoding long.
-  Instant m_prefillDoneAt{};    ///< When our prompts there are read.
+  int m_requests = 0;        ///< Ours under way.
+  int m_streams = 0;         ///< Of these, decoding long.
+  Instant m_prefillDoneAt{}; ///< When our prompts there are read.
   int m_failuresInRow = 0;
-  Instant m_avoidUntil{};       ///< After failures.
+  Instant m_avoidUntil{}; ///< After failures.
   std::map<std::string, std::pair<SentLoad, Instant>> m_ofPeers;
   /// When each prompt part was last sent there by anyone we know of.
   absl::flat_hash_map<std::uint64_t, Instant> m_partsSeen;
--- a/lib/Forwarding/CallerConnection.cpp
+++ b/lib/Forwarding/CallerConnection.cpp
@@ -75,8 +75,8 @@
 RetryAfterText(Duration aDuration)
 {
   constexpr double kMillisecondsPerSecond = 1000;
-  const double milliseconds = std::round(
-    std::chrono::duration<double, std::milli>(aDuration).count());
+  const double milliseconds =
+    std::round(std::chrono::duration<double, std::milli>(aDuration).count());
   return Cat(milliseconds / kMillisecondsPerSecond);
 }
 
@@ -98,9 +98,9 @@
 {
   m_isIdle = true;
   if (m_buffer.size() == 0) {
-    m_waitUntil = m_state->Now() + (m_state->m_routes
-                                      ? m_state->m_routes->Limits().m_idleTimeout
-                                      : CallerLimits().m_idleTimeout);
+    m_waitUntil = m_state->Now() +
+                  (m_state->m_routes ? m_state->m_routes->Limits().m_idleTimeout
+                                     : CallerLimits().m_idleTimeout);
     ErrorCode error;
     co_await m_socket.async_wait(Socket::wait_read, Into(error));
     if (error) {
@@ -129,7 +129,8 @@
   const Instant begun = m_state->Now();
   m_waitUntil = begun + limits.m_headerTimeout;
   co_await http::async_read_header(m_socket, m_buffer, parser, Into(error));
-  if (!error && m_state->m_bufferedBodies > m_state->m_options.m_maxBufferedBodies) {
+  if (!error &&
+      m_state->m_bufferedBodies > m_state->m_options.m_maxBufferedBodies) {
     const OwnAnswer refusal{ kUnavailable,
                              ResultCode::kOverloaded,
                              "too many bodies are in memory",
@@ -153,7 +154,8 @@
     co_return ReadEnd::kClosed;
   }
   if (error) {
-    const bool isBroken = error.category() != make_error_code(http::error::bad_field).category();
+    const bool isBroken =
+      error.category() != make_error_code(http::error::bad_field).category();
     if (!isBroken) {
       m_keepAlive = false;
       const OwnAnswer rejection = Rejection(error);
@@ -207,12 +209,12 @@
 CallerConnection::Awaitable<void>
 CallerConnection::SendOwn(const OwnAnswer& aAnswer)
 {
-  const std::string body =
-    nlohmann::json{ { "error",
-                      { { "code", static_cast<int>(aAnswer.m_code) },
-                        { "name", std::string(Describe(aAnswer.m_code).m_name) },
-                        { "message", aAnswer.m_why } } } }
-      .dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+  const std::string body = nlohmann::json{
+    { "error",
+      { { "code", static_cast<int>(aAnswer.m_code) },
+        { "name", std::string(Describe(aAnswer.m_code).m_name) },
+        { "message", aAnswer.m_why } } }
+  }.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
   FieldList fields = { { "Content-Type", "application/json" } };
   const bool isRefusal =
     aAnswer.m_status == kUnavailable || aAnswer.m_status == kTooManyRequests;
@@ -264,12 +266,9 @@
     HeadOf(aAnswer.m_status, aAnswer.m_reason, aAnswer.m_passedFields);
   bytes += m_isHttp10 ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n";
   if (!aFirstEvents.empty()) {
-    m_isHttp10 ? Append(bytes, aFirstEvents)
-               : Append(bytes,
-                                 Hex(aFirstEvents.size()),
-                                 "\r\n",
-                                 aFirstEvents,
-                                 "\r\n");
+    m_isHttp10
+      ? Append(bytes, aFirstEvents)
+      : Append(bytes, Hex(aFirstEvents.size()), "\r\n", aFirstEvents, "\r\n");
   }
   co_await Write(std::move(bytes));
 }
@@ -281,8 +280,7 @@
     co_return;
   }
   std::string bytes =
-    m_isHttp10 ? aEvents
-               : Cat(Hex(aEvents.size()), "\r\n", aEvents, "\r\n");
+    m_isHttp10 ? aEvents : Cat(Hex(aEvents.size()), "\r\n", aEvents, "\r\n");
   co_await Write(std::move(bytes));
 }
 
@@ -304,14 +302,13 @@
     return; // The next request is here already: the caller has not left.
   }
   const std::uint64_t watch = ++m_watch;
-  m_socket.async_wait(Socket::wait_read,
-                      [this, watch, life = std::weak_ptr<bool>(m_life)](
-                        const ErrorCode& aError) {
-                        if (!life.expired() &&
-                            aError != asio::error::operation_aborted) {
-                          CheckForLeaving(watch);
-                        }
-                      });
+  m_socket.async_wait(
+    Socket::wait_read,
+    [this, watch, life = std::weak_ptr<bool>(m_life)](const ErrorCode& aError) {
+      if (!life.expired() && aError != asio::error::operation_aborted) {
+        CheckForLeaving(watch);
+      }
+    });
 }
 
 void
@@ -323,8 +320,8 @@
   ErrorCode error;
   char byte = 0;
   m_socket.non_blocking(true, error);
-  const std::size_t count = m_socket.receive(
-    asio::buffer(&byte, 1), Socket::message_peek, error);
+  const std::size_t count =
+    m_socket.receive(asio::buffer(&byte, 1), Socket::message_peek, error);
   const bool isStillThere =
     error == asio::error::would_block || (!error && count > 0);
   if (!isStillThere) {
--- a/lib/Forwarding/GatewayServer.cpp
+++ b/lib/Forwarding/GatewayServer.cpp
@@ -170,8 +170,7 @@
       co_await pause.async_wait(Into(error));
       continue;
     }
-    asio::co_spawn(
-      *m_io, ServePage(std::move(socket), aPage), asio::detached);
+    asio::co_spawn(*m_io, ServePage(std::move(socket), aPage), asio::detached);
   }
 }
 
@@ -326,8 +325,7 @@
     const auto sums = histogram->Cumulative();
     for (std::size_t i = 0; i < sums.size(); ++i) {
       const double bound = LatencyHistogram::kBoundsMs[i] / 1000.0;
-      text.Sample(static_cast<double>(sums[i]),
-                  { { "le", Cat(bound) } });
+      text.Sample(static_cast<double>(sums[i]), { { "le", Cat(bound) } });
     }
     text.Sample(static_cast<double>(histogram->Count()), { { "le", "+Inf" } });
     text.Single(Cat(name, "_count"),
--- a/lib/Forwarding/PeerLink.cpp
+++ b/lib/Forwarding/PeerLink.cpp
@@ -42,6 +42,7 @@
   , m_life(std::move(aLife))
   , m_options(aOptions)
   , m_socket(aIo)
+  , m_next(aIo)
 {
 }
 
@@ -90,6 +91,11 @@
   for (const PromptPart& part : aParts) {
     parts.insert(part.m_id);
   }
+  const Instant soon = m_state->Now() + m_options.m_coalesce;
+  if (!m_peers.empty() && m_nextAt > soon) {
+    m_nextAt = soon;
+    m_next.cancel();
+  }
 }
 
 std::vector<std::string>
@@ -143,26 +149,23 @@
 PeerLink::Awaitable<void>
 PeerLink::Send()
 {
-  asio::steady_timer timer(*m_io);
-  Instant heartbeatDue = m_state->Now();
   while (true) {
     ErrorCode error;
-    timer.expires_after(m_options.m_coalesce);
-    co_await timer.async_wait(Into(error));
-    const Instant now = m_state->Now();
-    const bool isDue = now >= heartbeatDue;
-    if (m_peers.empty() || (m_changed.empty() && !isDue)) {
-      continue;
+    const Duration wait = m_nextAt - m_state->Now();
+    m_next.expires_after(std::max(wait, Duration(0)));
+    co_await m_next.async_wait(Into(error));
+    if (error == asio::error::operation_aborted) {
+      continue; // A change moved the next datagram ahead.
     }
-    if (isDue) {
-      heartbeatDue = now + m_options.m_heartbeat;
-    } else {
-      m_toldLast.clear();
+    m_nextAt = m_state->Now() + m_options.m_heartbeat;
+    if (m_peers.empty()) {
+      continue;
     }
     const std::string digest = NextDigest();
     if (digest.size() > kMaxDatagram) {
-      m_state->Log(LogLine("peer.digest_too_long")
-                     .Number("bytes", static_cast<std::int64_t>(digest.size())));
+      m_state->Log(
+        LogLine("peer.digest_too_long")
+          .Number("bytes", static_cast<std::int64_t>(digest.size())));
       continue;
     }
     for (const auto& [peer, heardAt] : m_peers) {
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -94,10 +94,9 @@
 RequestRun::Admit()
 {
   if (!m_table) {
-    return OwnAnswer{ 503,
-                      ResultCode::kNotConfigured,
-                      "no configuration is known yet",
-                      kSoon };
+    return OwnAnswer{
+      503, ResultCode::kNotConfigured, "no configuration is known yet", kSoon
+    };
   }
   if (std::optional<OwnAnswer> rejection = CheckCaller()) {
     return rejection;
@@ -203,8 +202,7 @@
     m_upstreamAddress = state->m_entry.m_address;
     return true;
   }
-  const bool isFull =
-    result.m_verdict == PlacementResult::Verdict::kOverloaded;
+  const bool isFull = result.m_verdict == PlacementResult::Verdict::kOverloaded;
   m_code = isFull ? ResultCode::kOverloaded : ResultCode::kNoUpstream;
   m_why = isFull ? "every upstream would answer too late"
                  : "no upstream takes work now";
@@ -301,8 +299,8 @@
 bool
 RequestRun::IsSpoiled(const UpstreamAnswer& aAnswer) const
 {
-  const bool isOfAnother =
-    !aAnswer.m_attemptId.empty() && aAnswer.m_attemptId != m_request.m_attemptId;
+  const bool isOfAnother = !aAnswer.m_attemptId.empty() &&
+                           aAnswer.m_attemptId != m_request.m_attemptId;
   const bool isUnsigned = IsSuccess(aAnswer.m_status) && !aAnswer.m_isSealed;
   return isOfAnother || isUnsigned || aAnswer.m_isEncoded;
 }
--- a/lib/Forwarding/WireDialect.cpp
+++ b/lib/Forwarding/WireDialect.cpp
@@ -10,9 +10,16 @@
 
 /// RFC 9110, section 7.6.1, and the framing of RFC 9112, section 6.
 constexpr std::array<std::string_view, 10> kOneHopFields = {
-  "Connection",        "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-  "TE",                "Trailer",    "Transfer-Encoding", "Upgrade",
-  "Content-Length",    "Expect"
+  "Connection",
+  "Keep-Alive",
+  "Proxy-Connection",
+  "Proxy-Authenticate",
+  "TE",
+  "Trailer",
+  "Transfer-Encoding",
+  "Upgrade",
+  "Content-Length",
+  "Expect"
 };
 
 } // namespace
--- a/lib/Gateway/CreditBook.cpp
+++ b/lib/Gateway/CreditBook.cpp
@@ -84,9 +84,9 @@
                                 { "closed_spent", credit.m_closedSpent },
                                 { "grants", std::move(grants) } };
   }
-  return json{ { "holders", std::move(holders) },
-               { "accounts", std::move(accounts) } }
-    .dump();
+  return json{
+    { "holders", std::move(holders) }, { "accounts", std::move(accounts) }
+  }.dump();
 }
 
 absl::StatusOr<CreditRecord>
@@ -155,8 +155,8 @@
   // What others spent only grows, so a budget that does not cover the request
   // beside that never will, unless it is raised.
   balance.m_hasRefused = true;
-  const bool isCertain = balance.m_prepaid <
-                         balance.m_spentByOthers + balance.OwnSpent() + aMost;
+  const bool isCertain =
+    balance.m_prepaid < balance.m_spentByOthers + balance.OwnSpent() + aMost;
   return isCertain ? CreditVerdict::kExhausted : CreditVerdict::kOutOfReach;
 }
 
@@ -254,12 +254,11 @@
   const double ofDemand =
     rate == 0 ? 0 : rate / (rate + aBalance.m_rateOfOthers);
   const double faded =
-    m_options.m_fadeSlope * (static_cast<double>(aBalance.m_rest) -
-                             m_options.m_fadeEnd * prepaid);
+    m_options.m_fadeSlope *
+    (static_cast<double>(aBalance.m_rest) - m_options.m_fadeEnd * prepaid);
   const double most =
     std::max(faded, m_options.m_leastShare * prepaid) * ofDemand;
-  const double byDemand =
-    std::min(rate * Seconds(m_options.m_headroom), most);
+  const double byDemand = std::min(rate * Seconds(m_options.m_headroom), most);
   const double byRequests = m_options.m_minRequests * aBalance.m_usualRequest;
   const double withoutDemand =
     std::min(m_options.m_initialShare *
@@ -358,9 +357,8 @@
     aBalance.m_prepaid > committed ? aBalance.m_prepaid - committed : 0;
   aBalance.m_spentByOthers = aCredit.Spent();
   aBalance.m_rateOfOthers = static_cast<double>(aCredit.Rate());
-  const std::uint64_t gone =
-    aCredit.m_closed + aCredit.Spent() - aCredit.m_closedSpent +
-    aBalance.Used();
+  const std::uint64_t gone = aCredit.m_closed + aCredit.Spent() -
+                             aCredit.m_closedSpent + aBalance.Used();
   aBalance.m_rest = aBalance.m_prepaid > gone ? aBalance.m_prepaid - gone : 0;
 }
 
@@ -412,10 +410,9 @@
     return {};
   }
   const Balance& balance = found->second;
-  return { balance.m_prepaid,
-           balance.Limit(),
-           balance.Used(),
-           balance.m_freeAtLastRead };
+  return {
+    balance.m_prepaid, balance.Limit(), balance.Used(), balance.m_freeAtLastRead
+  };
 }
 
 std::uint64_t
--- a/lib/Gateway/EventSplitter.cpp
+++ b/lib/Gateway/EventSplitter.cpp
@@ -1,7 +1,6 @@
 #include "bergamotpaddle/Gateway/EventSplitter.h"
 #include "bergamotpaddle/Support/Text.h"
 
-
 namespace bergamotpaddle {
 
 namespace {
--- a/lib/Gateway/PeerDigest.cpp
+++ b/lib/Gateway/PeerDigest.cpp
@@ -1,7 +1,6 @@
 #include "bergamotpaddle/Gateway/PeerDigest.h"
 #include "bergamotpaddle/Support/Text.h"
 
-
 namespace bergamotpaddle {
 
 std::string
@@ -20,8 +19,7 @@
     msgpack::unpack(aBytes.data(), aBytes.size()).get().convert(digest);
     return digest;
   } catch (const std::exception& error) {
-    return absl::InvalidArgumentError(
-      Cat("peer digest: ", error.what()));
+    return absl::InvalidArgumentError(Cat("peer digest: ", error.what()));
   }
 }
 
--- a/lib/Gateway/Placement.cpp
+++ b/lib/Gateway/Placement.cpp
@@ -1,7 +1,5 @@
 #include "bergamotpaddle/Gateway/Placement.h"
 
-#include "bergamotpaddle/Support/Hash.h"
-
 #include <algorithm>
 #include <cmath>
 
@@ -23,9 +21,8 @@
 Duration
 Scale(Duration aDuration, double aFactor)
 {
-  return Duration(
-    static_cast<Duration::rep>(static_cast<double>(aDuration.count()) *
-                               aFactor));
+  return Duration(static_cast<Duration::rep>(
+    static_cast<double>(aDuration.count()) * aFactor));
 }
 
 std::uint32_t
@@ -70,9 +67,9 @@
   constexpr double kMillion = 1e6;
   const double reading =
     aUnread / m_options.m_prefillTokensPerMs * kMicrosecondsPerMs;
-  const double steps = std::ceil(static_cast<double>(aUnread) /
-                                 m_options.m_chunkTokens) *
-                       static_cast<double>(m_options.m_tokenTime.count());
+  const double steps =
+    std::ceil(static_cast<double>(aUnread) / m_options.m_chunkTokens) *
+    static_cast<double>(m_options.m_tokenTime.count());
   const double read = static_cast<double>(aAll) - aUnread;
   const double pairs =
     aUnread * (read + aUnread / 2.0) / kMillion *
@@ -97,8 +94,8 @@
     slots == 0 ? 1 : streams / (slots / count * m_options.m_lightFill);
   const std::size_t most = std::max<std::size_t>(aUpstreams.size() / 2, 1);
   const std::size_t least = std::max<std::size_t>(aUpstreams.size() / 6, 1);
-  const std::size_t part = std::clamp(
-    static_cast<std::size_t>(std::ceil(needed)), least, most);
+  const std::size_t part =
+    std::clamp(static_cast<std::size_t>(std::ceil(needed)), least, most);
   Split& split = m_splits[aService];
   if (part >= split.m_part) {
     split = { part, aNow };
@@ -117,11 +114,12 @@
   // One order of the pool that all routers agree on: the first take the light
   // requests.
   std::vector<const UpstreamState*> pool = aUsable;
-  std::sort(pool.begin(), pool.end(), [](const auto* aLeft, const auto* aRight) {
-    return PlacementHash(aLeft->m_entry.m_id.Str()) <
-           PlacementHash(aRight->m_entry.m_id.Str());
-  });
-  const std::size_t lightPart = LightPart(aView, aRequest.m_service, pool, aNow);
+  std::sort(
+    pool.begin(), pool.end(), [](const auto* aLeft, const auto* aRight) {
+      return aLeft->m_hash < aRight->m_hash;
+    });
+  const std::size_t lightPart =
+    LightPart(aView, aRequest.m_service, pool, aNow);
   const bool isHeavy = IsHeavy(aRequest);
   const std::uint64_t key = LocalityKey(aRequest.m_parts);
   struct Ranked
@@ -136,8 +134,7 @@
       continue;
     }
     const bool isStranger = (i < lightPart) == isHeavy;
-    const std::uint64_t weight =
-      Combine(PlacementHash(pool[i]->m_entry.m_id.Str()), key);
+    const std::uint64_t weight = Combine(pool[i]->m_hash, key);
     (isStranger ? other : own).push_back({ { pool[i], isStranger }, weight });
   }
   const auto byWeight = [](const Ranked& aLeft, const Ranked& aRight) {
@@ -185,12 +182,12 @@
                 Instant aNow) const
 {
   const UpstreamState& state = *aCandidate.m_state;
-  Duration cost = Scale(aView.PrefillBacklog(state, aNow),
-                        m_options.m_backlogWeight) +
-                  aChoice.m_prefill * m_options.m_readingWeight +
-                  m_options.m_requestPenalty * aChoice.m_requests;
-  cost = Scale(cost + std::chrono::milliseconds(10),
-               aView.Slowness(state, aNow));
+  Duration cost =
+    Scale(aView.PrefillBacklog(state, aNow), m_options.m_backlogWeight) +
+    aChoice.m_prefill * m_options.m_readingWeight +
+    m_options.m_requestPenalty * aChoice.m_requests;
+  cost =
+    Scale(cost + std::chrono::milliseconds(10), aView.Slowness(state, aNow));
   if (aCandidate.m_isStranger) {
     cost += m_options.m_strangerPenalty;
   }
--- a/lib/Gateway/RouteTable.cpp
+++ b/lib/Gateway/RouteTable.cpp
@@ -11,11 +11,12 @@
     m_routesOfHost[m_config.m_routes[i].m_host].push_back(i);
   }
   for (auto& [host, routes] : m_routesOfHost) {
-    std::stable_sort(
-      routes.begin(), routes.end(), [this](std::size_t aLeft, std::size_t aRight) {
-        return m_config.m_routes[aLeft].m_pathPrefix.size() >
-               m_config.m_routes[aRight].m_pathPrefix.size();
-      });
+    std::stable_sort(routes.begin(),
+                     routes.end(),
+                     [this](std::size_t aLeft, std::size_t aRight) {
+                       return m_config.m_routes[aLeft].m_pathPrefix.size() >
+                              m_config.m_routes[aRight].m_pathPrefix.size();
+                     });
   }
   for (std::size_t i = 0; i < m_config.m_accounts.size(); ++i) {
     m_accountOfName[m_config.m_accounts[i].m_id.Str()] = i;
--- a/lib/Gateway/UpstreamView.cpp
+++ b/lib/Gateway/UpstreamView.cpp
@@ -1,5 +1,7 @@
 #include "bergamotpaddle/Gateway/UpstreamView.h"
 
+#include "bergamotpaddle/Support/Hash.h"
+
 #include <algorithm>
 
 namespace bergamotpaddle {
@@ -33,6 +35,7 @@
     state.m_avoidUntil = {};
   }
   state.m_entry = aEntry;
+  state.m_hash = PlacementHash(aEntry.m_id.Str());
 }
 
 void
@@ -128,12 +131,11 @@
 }
 
 void
-UpstreamView::NoteSlowness(const UpstreamId& aId,
-                           double aSlowness,
-                           Instant aAt)
+UpstreamView::NoteSlowness(const UpstreamId& aId, double aSlowness, Instant aAt)
 {
   UpstreamState* state = Find(aId);
-  if (state == nullptr || (state->m_reported && state->m_reported->m_at > aAt)) {
+  if (state == nullptr ||
+      (state->m_reported && state->m_reported->m_at > aAt)) {
     return;
   }
   if (!state->m_reported) {
@@ -223,8 +225,8 @@
 {
   Duration sum = std::max(aState.m_prefillDoneAt - aNow, Duration(0));
   for (const auto& [peer, told] : aState.m_ofPeers) {
-    sum += std::max(told.first.m_prefillLeft - (aNow - told.second),
-                    Duration(0));
+    sum +=
+      std::max(told.first.m_prefillLeft - (aNow - told.second), Duration(0));
   }
   return sum;
 }
--- a/lib/Logging/EventLog.cpp
+++ b/lib/Logging/EventLog.cpp
@@ -124,13 +124,13 @@
 EventLog::AppendLine(const LogLine& aLine, std::int64_t aUnixMs)
 {
   Append(m_buffer,
-                  "{\"time_ms\":",
-                  aUnixMs,
-                  ",\"process\":\"",
-                  m_process,
-                  "\"",
-                  aLine.Body(),
-                  "}\n");
+         "{\"time_ms\":",
+         aUnixMs,
+         ",\"process\":\"",
+         m_process,
+         "\"",
+         aLine.Body(),
+         "}\n");
   ++m_written;
 }
 
--- a/lib/Support/Text.cpp
+++ b/lib/Support/Text.cpp
@@ -50,8 +50,7 @@
 {
   std::vector<std::string_view> pieces;
   std::size_t begin = 0;
-  for (std::size_t end = aText.find(aSeparator);
-       end != std::string_view::npos;
+  for (std::size_t end = aText.find(aSeparator); end != std::string_view::npos;
        end = aText.find(aSeparator, begin)) {
     pieces.push_back(aText.substr(begin, end - begin));
     begin = end + 1;
--- a/unittests/Gateway/CreditBookTest.cpp
+++ b/unittests/Gateway/CreditBookTest.cpp
@@ -118,13 +118,11 @@
   {
     Draw(first, record, At(0));
     CHECK(first.Allot(kCafe, kPrepaid, At(1)) == CreditVerdict::kOutOfReach);
-    CHECK(first.Allot(kCafe, kPrepaid + 1, At(1)) ==
-          CreditVerdict::kExhausted);
+    CHECK(first.Allot(kCafe, kPrepaid + 1, At(1)) == CreditVerdict::kExhausted);
 
     SECTION("what others hold but did not spend may come back")
     {
-      CreditGrant& other =
-        record.m_accounts[kCafe].m_grants[HolderId("b/1")];
+      CreditGrant& other = record.m_accounts[kCafe].m_grants[HolderId("b/1")];
       other.m_granted = kPrepaid * 9 / 10;
       Draw(first, record, At(2));
       CHECK(first.Allot(kCafe, kPrepaid / 2, At(2)) ==
@@ -147,10 +145,9 @@
     CHECK(*again == record);
     CHECK_FALSE(CreditRecord::Decode("{\"holders\":[]}").ok());
     CHECK_FALSE(CreditRecord::Decode("not JSON").ok());
-    CHECK_FALSE(
-      CreditRecord::Decode(R"({"holders":[],"accounts":{"a":)"
-                           R"({"closed":0,"closed_spent":0,)"
-                           R"("grants":[[3,1,0,0]]}}})")
-        .ok());
+    CHECK_FALSE(CreditRecord::Decode(R"({"holders":[],"accounts":{"a":)"
+                                     R"({"closed":0,"closed_spent":0,)"
+                                     R"("grants":[[3,1,0,0]]}}})")
+                  .ok());
   }
 }
--- a/unittests/Gateway/CreditFuzzTest.cpp
+++ b/unittests/Gateway/CreditFuzzTest.cpp
@@ -131,8 +131,8 @@
     if (aFrom == aTo) {
       return;
     }
-    const auto lent = m_hosts[aFrom].m_book->Lend(
-      m_hosts[aFrom].m_book->AllSpendable(), 0.5);
+    const auto lent =
+      m_hosts[aFrom].m_book->Lend(m_hosts[aFrom].m_book->AllSpendable(), 0.5);
     if (!aIsLost) {
       m_hosts[aTo].m_book->Borrow(lent);
     }
@@ -193,8 +193,9 @@
           break;
         case 5:
         case 6:
-          world.Draw(host, *rc::gen::weightedElement<int>(
-                       { { 6, 0 }, { 1, 1 }, { 1, 2 } }));
+          world.Draw(
+            host,
+            *rc::gen::weightedElement<int>({ { 6, 0 }, { 1, 1 }, { 1, 2 } }));
           break;
         case 7:
           world.CarryOutLate();
@@ -203,9 +204,8 @@
           world.Pass(*rc::gen::inRange(1, 3'000));
           break;
         case 9:
-          world.Lend(host,
-                     *rc::gen::inRange(0, kRouters),
-                     *rc::gen::inRange(0, 4) == 0);
+          world.Lend(
+            host, *rc::gen::inRange(0, kRouters), *rc::gen::inRange(0, 4) == 0);
           break;
         default:
           *rc::gen::inRange(0, 4) == 0 ? world.Start(host) : world.Stop(host);
--- a/unittests/Gateway/PlacementTest.cpp
+++ b/unittests/Gateway/PlacementTest.cpp
@@ -70,8 +70,8 @@
   {
     const UpstreamId home = Place(placement, view, Prompt(7, 5000, 1), 0);
     for (int request = 1; request < 10; ++request) {
-      const UpstreamId next = Place(
-        placement, view, Prompt(7, 5000, 100 + request), request * 300);
+      const UpstreamId next =
+        Place(placement, view, Prompt(7, 5000, 100 + request), request * 300);
       CHECK(next == home);
       view.NoteEnded(next, false);
     }
@@ -125,11 +125,8 @@
     const std::size_t before =
       placement.LightPart(view, kPool, pool, AtMs(1400));
     for (int request = 0; request < 400; ++request) {
-      view.NoteSent(pool[request % 18]->m_entry.m_id,
-                    true,
-                    Duration(0),
-                    {},
-                    AtMs(1400));
+      view.NoteSent(
+        pool[request % 18]->m_entry.m_id, true, Duration(0), {}, AtMs(1400));
     }
     const std::size_t after =
       placement.LightPart(view, kPool, pool, AtMs(1400));
@@ -144,8 +141,7 @@
         }
       }
       CHECK(placement.LightPart(view, kPool, pool, AtMs(2000)) == after);
-      CHECK(placement.LightPart(view, kPool, pool, AtMs(10'000)) ==
-            after - 1);
+      CHECK(placement.LightPart(view, kPool, pool, AtMs(10'000)) == after - 1);
     }
   }
 }
--- a/unittests/Gateway/UpstreamViewTest.cpp
+++ b/unittests/Gateway/UpstreamViewTest.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// What a router believes of upstreams.
-#include "bergamotpaddle/Gateway/PeerDigest.h"
 #include "bergamotpaddle/Gateway/UpstreamView.h"
+#include "bergamotpaddle/Gateway/PeerDigest.h"
 
 #include <catch2/catch.hpp>
 
--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -26,7 +26,8 @@
                     { "bergamotpaddle-attempt-id", "9c41" },
                     { "Bergamotpaddle-Model", "m" },
                     { "Bergamotpaddle-Token-Usage", "1460,80" },
-                    { "Bergamotpaddle-Prompt-Prefix", "5c1e07a2:800,e4402b7d:250" },
+                    { "Bergamotpaddle-Prompt-Prefix",
+                      "5c1e07a2:800,e4402b7d:250" },
                     { "Bergamotpaddle-Timeout-Ms", "1500" },
                     { "Authorization", "Bearer k1" },
                     { "X-Twice", "a" },
@@ -52,11 +53,10 @@
     const CallerRequest request = dialect.m_readRequest(wire);
     CHECK(Has(request.m_passedFields, "Bergamotpaddle-Model"));
     CHECK(Has(request.m_passedFields, "Bergamotpaddle-Attempt-Id"));
-    CHECK(std::count_if(request.m_passedFields.begin(),
-                        request.m_passedFields.end(),
-                        [](const auto& aField) {
-                          return aField.first == "X-Twice";
-                        }) == 2);
+    CHECK(std::count_if(
+            request.m_passedFields.begin(),
+            request.m_passedFields.end(),
+            [](const auto& aField) { return aField.first == "X-Twice"; }) == 2);
     CHECK_FALSE(Has(request.m_passedFields, "Authorization"));
     CHECK_FALSE(Has(request.m_passedFields, "X-Hop"));
     CHECK_FALSE(Has(request.m_passedFields, "Connection"));
@@ -95,14 +95,14 @@
 
   SECTION("tells whether it is signed, and the load of its sender")
   {
-    const UpstreamAnswer answer = dialect.m_readAnswer(
-      200,
-      "OK",
-      { { "Bergamotpaddle-Response-Seal", "3e1b" },
-        { "Bergamotpaddle-Attempt-Id", "9c41" },
-        { "Bergamotpaddle-Server-Load", "3,1,8,250" },
-        { "Content-Type", "text/event-stream" },
-        { "Transfer-Encoding", "chunked" } });
+    const UpstreamAnswer answer =
+      dialect.m_readAnswer(200,
+                           "OK",
+                           { { "Bergamotpaddle-Response-Seal", "3e1b" },
+                             { "Bergamotpaddle-Attempt-Id", "9c41" },
+                             { "Bergamotpaddle-Server-Load", "3,1,8,250" },
+                             { "Content-Type", "text/event-stream" },
+                             { "Transfer-Encoding", "chunked" } });
     CHECK(answer.m_isSealed);
     CHECK(answer.m_attemptId == "9c41");
     CHECK(answer.m_isEventStream);
@@ -115,8 +115,9 @@
 
   SECTION("proves by two signs alone that nothing ran")
   {
-    CHECK(dialect.m_readAnswer(503, "", { { "Bergamotpaddle-Not-Executed", "1" } })
-            .m_isProvedNotRun);
+    CHECK(
+      dialect.m_readAnswer(503, "", { { "Bergamotpaddle-Not-Executed", "1" } })
+        .m_isProvedNotRun);
     CHECK(dialect.m_readAnswer(421, "", {}).m_isProvedNotRun);
     CHECK_FALSE(dialect.m_readAnswer(503, "", {}).m_isProvedNotRun);
     CHECK_FALSE(dialect.m_readAnswer(429, "", {}).m_isProvedNotRun);
@@ -125,7 +126,8 @@
   SECTION("with a load that cannot be read has none")
   {
     CHECK_FALSE(
-      dialect.m_readAnswer(200, "", { { "Bergamotpaddle-Server-Load", "1,x,8" } })
+      dialect
+        .m_readAnswer(200, "", { { "Bergamotpaddle-Server-Load", "1,x,8" } })
         .m_load.has_value());
   }
 }
--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -72,11 +72,15 @@
 
   SECTION("of another writer names no upstream")
   {
-    for (const char* garbage :
-         { "", "not JSON", "[]", R"({"service":"s"})",
-           R"({"service":1,"addr":"a","zone":"a","slots":6,"state":"ready"})",
-           R"({"service":"s","addr":"a","zone":"a","slots":"6","state":"ready"})",
-           R"({"service":"s","addr":"a","zone":"a","slots":6,"state":"odd"})" }) {
+    for (
+      const char* garbage :
+      { "",
+        "not JSON",
+        "[]",
+        R"({"service":"s"})",
+        R"({"service":1,"addr":"a","zone":"a","slots":6,"state":"ready"})",
+        R"({"service":"s","addr":"a","zone":"a","slots":"6","state":"ready"})",
+        R"({"service":"s","addr":"a","zone":"a","slots":6,"state":"odd"})" }) {
       CHECK_FALSE(ReadUpstreamEntry("i-1", garbage).ok());
     }
   }
@@ -94,12 +98,12 @@
 
   SECTION("is read, with the first peers from its seeds")
   {
-    const LoadedSettings loaded = load(
-      R"({"node":"front-1","zone":"a","ip":"10.1.0.19","listen":)"
-      R"({"front":"10.1.0.19:8740","ready":"10.1.0.19:8749"},)"
-      R"("portRange":[7200,7215],"seeds":["10.2.0.13:8748"],)"
-      R"("bounds":{"graceS":6,"drainMs":1500},)"
-      R"("provider":{"addr":"10.200.1.7:8742"},"later":1})");
+    const LoadedSettings loaded =
+      load(R"({"node":"front-1","zone":"a","ip":"10.1.0.19","listen":)"
+           R"({"front":"10.1.0.19:8740","ready":"10.1.0.19:8749"},)"
+           R"("portRange":[7200,7215],"seeds":["10.2.0.13:8748"],)"
+           R"("bounds":{"graceS":6,"drainMs":1500},)"
+           R"("provider":{"addr":"10.200.1.7:8742"},"later":1})");
     CHECK(loaded.m_findings.empty());
     CHECK(loaded.m_settings.m_firstPeers ==
           std::vector<std::string>{ "10.2.0.13:7200" });
--- a/unittests/Platform/ForwardingTest.cpp
+++ b/unittests/Platform/ForwardingTest.cpp
@@ -192,8 +192,7 @@
   {
     fleet.m_first.m_scripts = { { begun } };
     fleet.m_second.m_scripts = { { begun } };
-    const std::string answer =
-      fleet.Call(GatewayFixture::Request("/stream/"));
+    const std::string answer = fleet.Call(GatewayFixture::Request("/stream/"));
     CHECK(fleet.m_wasClosed);
     CHECK(Contains(answer, "data: b\n\n"));
     CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
@@ -207,8 +206,8 @@
   // was kept afterwards and took a request shortly before the process ended.
   GatewayFixture fleet;
   REQUIRE(fleet.m_startStatus.ok());
-  const std::string slow = GatewayFixture::StreamHead() +
-                           GatewayFixture::Chunk("id: 1\ndata: a\n\n");
+  const std::string slow =
+    GatewayFixture::StreamHead() + GatewayFixture::Chunk("id: 1\ndata: a\n\n");
   fleet.m_first.m_scripts = { { slow, true } };
   fleet.m_second.m_scripts = { { slow, true } };
   std::string keptRequest = GatewayFixture::Request("/stream/");
--- a/unittests/Platform/Loopback.h
+++ b/unittests/Platform/Loopback.h
@@ -27,9 +27,9 @@
 public:
   struct Script
   {
-    std::string m_answer;     ///< Raw bytes; "{ID}" becomes the attempt's id.
-    bool m_isHeld = false;    ///< Keep the connection open afterwards.
-    bool m_isReset = false;   ///< End it by a reset.
+    std::string m_answer;   ///< Raw bytes; "{ID}" becomes the attempt's id.
+    bool m_isHeld = false;  ///< Keep the connection open afterwards.
+    bool m_isReset = false; ///< End it by a reset.
   };
 
   explicit ScriptedUpstream(asio::io_context& aIo)
@@ -40,8 +40,7 @@
 
   std::string Address() const
   {
-    return "127.0.0.1:" +
-           std::to_string(m_acceptor.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
   }
 
   std::deque<Script> m_scripts;
@@ -72,8 +71,7 @@
     boost::system::error_code error;
     std::string request(65536, '\0');
     const std::size_t count = co_await aSocket.async_read_some(
-      asio::buffer(request),
-      asio::redirect_error(asio::use_awaitable, error));
+      asio::buffer(request), asio::redirect_error(asio::use_awaitable, error));
     request.resize(count);
     m_requests.push_back(request);
     Script script;
@@ -287,7 +285,6 @@
       aIsDone = true;
     }
   }
-
 };
 
 } // namespace bergamotpaddle
--- a/unittests/Platform/StoreClientTest.cpp
+++ b/unittests/Platform/StoreClientTest.cpp
@@ -28,8 +28,8 @@
     std::string m_body;
     bool m_isSilent = false; ///< No answer at all.
   };
-  using Hook = std::function<Reply(const std::string& aTarget,
-                                   const std::string& aBody)>;
+  using Hook =
+    std::function<Reply(const std::string& aTarget, const std::string& aBody)>;
 
   StoreStandIn(asio::io_context& aIo, Hook aHook)
     : m_acceptor(aIo, { asio::ip::make_address("127.0.0.1"), 0 })
@@ -40,8 +40,7 @@
 
   std::string Address() const
   {
-    return "127.0.0.1:" +
-           std::to_string(m_acceptor.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
   }
   int Calls() const { return m_calls; }
 
@@ -61,8 +60,7 @@
     http::request<http::string_body> request;
     co_await http::async_read(aSocket, buffer, request, asio::use_awaitable);
     ++m_calls;
-    const Reply reply =
-      m_hook(std::string(request.target()), request.body());
+    const Reply reply = m_hook(std::string(request.target()), request.body());
     if (reply.m_isSilent) {
       m_silent.push_back(std::move(aSocket));
       co_return;
@@ -105,12 +103,12 @@
   StoreStandIn::Reply next;
   std::string lastTarget;
   std::string lastBody;
-  StoreStandIn store(
-    io, [&](const std::string& aTarget, const std::string& aBody) {
-      lastTarget = aTarget;
-      lastBody = aBody;
-      return next;
-    });
+  StoreStandIn store(io,
+                     [&](const std::string& aTarget, const std::string& aBody) {
+                       lastTarget = aTarget;
+                       lastBody = aBody;
+                       return next;
+                     });
   StoreClient client(io, store.Address());
 
   SECTION("reads an item, and one that is not there")
@@ -129,23 +127,23 @@
   SECTION("reads a range page by page from the first page's revision")
   {
     int page = 0;
-    StoreStandIn pages(io, [&page](const std::string& aTarget,
-                                   const std::string&) {
-      ++page;
-      if (page == 1) {
+    StoreStandIn pages(
+      io, [&page](const std::string& aTarget, const std::string&) {
+        ++page;
+        if (page == 1) {
+          return StoreStandIn::Reply{
+            200,
+            R"({"items":[{"key":"s/1","value":"YQ==","rev":3}],)"
+            R"("truncated":true,"currentRev":9})"
+          };
+        }
+        CHECK(aTarget == "/kv-range?pathPrefix=s/&after=s/1");
         return StoreStandIn::Reply{
           200,
-          R"({"items":[{"key":"s/1","value":"YQ==","rev":3}],)"
-          R"("truncated":true,"currentRev":9})"
+          R"({"items":[{"key":"s/2","value":"Yg==","rev":11}],)"
+          R"("truncated":false,"currentRev":12})"
         };
-      }
-      CHECK(aTarget == "/kv-range?pathPrefix=s/&after=s/1");
-      return StoreStandIn::Reply{
-        200,
-        R"({"items":[{"key":"s/2","value":"Yg==","rev":11}],)"
-        R"("truncated":false,"currentRev":12})"
-      };
-    });
+      });
     StoreClient paging(io, pages.Address());
     const auto items = Await(io, paging.List("s/"));
     REQUIRE(items.ok());
@@ -205,8 +203,8 @@
   {
     StoreClient other(io, store.Address());
     StoreRelay relay(io, other);
-    asio::ip::tcp::acceptor probe(
-      io, { asio::ip::make_address("127.0.0.1"), 0 });
+    asio::ip::tcp::acceptor probe(io,
+                                  { asio::ip::make_address("127.0.0.1"), 0 });
     const std::string relayAddress =
       "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
     probe.close();
