--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -102,10 +102,6 @@
   kAllotted,
   kExhausted,  ///< Certain: the account's budget does not cover the request.
   kOutOfReach, ///< Credit may exist but is not granted to this router.
-  /// What is left does not cover the request, taking grants of ended lives as
-  /// spent: only a raise of the budget helps, but it is not certain that the
-  /// account used it up.
-  kNoneLeft,
 };
 
 /// One account's credit as a router sees it, for logs.
@@ -192,7 +188,6 @@
     std::uint64_t m_freeAtLastRead = 0; ///< Not granted to anyone.
     std::uint64_t m_spentByOthers = 0;  ///< For certain, when read last.
     double m_rateOfOthers = 0;          ///< Tokens a second, when read last.
-    bool m_wasRead = false;
     std::uint64_t m_rest = 0;           ///< Of the budget beyond what is spent.
     double m_demandRate = 0;            ///< Tokens a second, moving average.
     double m_usualRequest = 0;          ///< Greatest size, moving average.
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -14,8 +14,6 @@
 constexpr int kOkEnd = 300;
 /// When to come back for what passes by itself within moments.
 constexpr Duration kSoon = std::chrono::milliseconds(400);
-/// When to come back for a budget that has to be raised first, which people do.
-constexpr Duration kAfterRaise = std::chrono::seconds(30);
 /// When to come back for credit, which is drawn about once a second.
 constexpr Duration kAfterNextDraw = std::chrono::milliseconds(1000);
 
@@ -158,11 +156,6 @@
                         ResultCode::kBudgetExhausted,
                         "the budget does not cover the request",
                         {} };
-    case CreditVerdict::kNoneLeft:
-      return OwnAnswer{ 503,
-                        ResultCode::kCreditUnreachable,
-                        "nothing is left of the budget",
-                        kAfterRaise };
     case CreditVerdict::kOutOfReach:
       break;
   }
--- a/lib/Gateway/CreditBook.cpp
+++ b/lib/Gateway/CreditBook.cpp
@@ -155,12 +155,9 @@
   // What others spent only grows, so a budget that does not cover the request
   // beside that never will, unless it is raised.
   balance.m_hasRefused = true;
-  const std::uint64_t own = balance.OwnSpent() + aMost;
-  if (balance.m_prepaid < balance.m_spentByOthers + own) {
-    return CreditVerdict::kExhausted;
-  }
-  const bool isNoneLeft = balance.m_wasRead && balance.m_rest < aMost;
-  return isNoneLeft ? CreditVerdict::kNoneLeft : CreditVerdict::kOutOfReach;
+  const bool isCertain =
+    balance.m_prepaid < balance.m_spentByOthers + balance.OwnSpent() + aMost;
+  return isCertain ? CreditVerdict::kExhausted : CreditVerdict::kOutOfReach;
 }
 
 void
@@ -362,7 +359,6 @@
   aBalance.m_rateOfOthers = static_cast<double>(aCredit.Rate());
   const std::uint64_t gone = aCredit.m_closed + aCredit.Spent() -
                              aCredit.m_closedSpent + aBalance.Used();
-  aBalance.m_wasRead = true;
   aBalance.m_rest = aBalance.m_prepaid > gone ? aBalance.m_prepaid - gone : 0;
 }
 
