--- a/include/bergamotpaddle/Gateway/Placement.h
+++ b/include/bergamotpaddle/Gateway/Placement.h
@@ -24,7 +24,6 @@
 {
   ServiceId m_service;
   std::vector<PromptPart> m_parts; ///< Empty for plain services.
-  std::uint32_t m_maxOutputTokens = 0;
   Duration m_timeLeft{ 0 };
   Duration m_patience{ 0 }; ///< Callers leave without a first event by then.
   std::set<UpstreamId> m_excluded;
--- a/include/bergamotpaddle/Gateway/RouteTable.h
+++ b/include/bergamotpaddle/Gateway/RouteTable.h
@@ -85,7 +85,7 @@
 struct CallerLimits
 {
   std::uint32_t m_maxHeaderBytes = 16 * 1024;
-  std::uint64_t m_maxBodyBytes = 4 * 1024 * 1024;
+  std::uint64_t m_maxBodyBytes = 4ULL * 1024 * 1024;
   Duration m_headerTimeout = std::chrono::seconds(3);
   Duration m_idleTimeout = std::chrono::seconds(15);
   auto operator<=>(const CallerLimits&) const = default;
--- a/include/bergamotpaddle/Logging/EventLog.h
+++ b/include/bergamotpaddle/Logging/EventLog.h
@@ -34,7 +34,7 @@
 {
   double m_linesPerSecond = 400; ///< Sustained; requests at twice the usual.
   double m_burst = 800;
-  std::size_t m_maxBufferedBytes = 256 * 1024;
+  std::size_t m_maxBufferedBytes = 256ULL * 1024;
 };
 
 /// Collects lines and writes them when the output takes them without waiting.
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -186,8 +186,6 @@
   PlacementRequest request;
   request.m_service = m_service;
   request.m_parts = m_request.m_parts;
-  request.m_maxOutputTokens =
-    static_cast<std::uint32_t>(m_request.m_maxOutputTokens);
   request.m_timeLeft = m_deadline - now;
   request.m_excluded = m_progress->Tried();
   if (m_route->m_kind == CallKind::kStream) {
--- a/lib/Gateway/Placement.cpp
+++ b/lib/Gateway/Placement.cpp
@@ -218,6 +218,10 @@
   } else {
     candidates = EngineCandidates(aView, aRequest, usable, aNow);
   }
+  const Duration usefulWait =
+    aRequest.m_patience.count() > 0
+      ? std::min(aRequest.m_patience, aRequest.m_timeLeft)
+      : aRequest.m_timeLeft;
   Duration least = Duration::max();
   bool isFull = false;
   for (const Candidate& candidate : candidates) {
@@ -225,9 +229,7 @@
     const PlacementChoice choice =
       Expect(aView, aRequest, *candidate.m_state, aNow);
     const double room = entry.m_slots * (1 + m_options.m_queueFill);
-    if (choice.m_requests >= room ||
-        (aRequest.m_patience.count() > 0 &&
-         choice.m_expected > aRequest.m_patience)) {
+    if (choice.m_requests >= room || choice.m_expected > usefulWait) {
       isFull = true;
       continue;
     }
--- a/unittests/Gateway/PlacementTest.cpp
+++ b/unittests/Gateway/PlacementTest.cpp
@@ -39,6 +39,7 @@
   request.m_service = kPool;
   request.m_parts = { { 1, 100 }, { aShared, aTokens }, { aOwn, 300 } };
   request.m_patience = std::chrono::seconds(2);
+  request.m_timeLeft = std::chrono::seconds(5);
   return request;
 }
 
@@ -188,6 +189,15 @@
   CHECK(verdict == PlacementResult::Verdict::kOverloaded);
   CHECK(placed > kEngines);
 
+  SECTION("sooner, for a caller with less time left")
+  {
+    PlacementRequest hurried = Prompt(1, 100);
+    hurried.m_timeLeft = std::chrono::milliseconds(1);
+    const PlacementResult result = placement.Choose(view, hurried, AtMs(0));
+    CHECK(result.m_verdict == PlacementResult::Verdict::kOverloaded);
+    CHECK(result.m_retryAfter.count() > 0);
+  }
+
   SECTION("and a pool without upstreams says so")
   {
     UpstreamView empty;
