--- a/unittests/Platform/ForwardingTest.cpp
+++ b/unittests/Platform/ForwardingTest.cpp
@@ -241,3 +241,26 @@
     CHECK(fleet.Call(GatewayFixture::Request("/once/")).empty());
   }
 }
+
+TEST_CASE("a planned stop beside connections that wait", "[forwarding]")
+{
+  // A caller keeps a connection on which it has sent nothing: a stop does not
+  // wait for it, and gives it no time to send a request that would be cut.
+  GatewayFixture fleet;
+  REQUIRE(fleet.m_startStatus.ok());
+  bool isStopped = false;
+  std::chrono::steady_clock::time_point stoppedAt;
+  const auto begun = std::chrono::steady_clock::now();
+  asio::steady_timer order(fleet.m_io, std::chrono::milliseconds(50));
+  order.async_wait([&](const boost::system::error_code&) {
+    fleet.m_server.BeginStop([&] {
+      isStopped = true;
+      stoppedAt = std::chrono::steady_clock::now();
+    });
+  });
+  const std::string answer = fleet.Call("", std::chrono::milliseconds(2500));
+  CHECK(answer.empty());
+  CHECK(fleet.m_wasClosed);
+  REQUIRE(isStopped);
+  CHECK(stoppedAt - begun < std::chrono::milliseconds(1500));
+}
