Keys whose homes cannot decide are placed in the key-value service

Cause: a key was claimed at two homes and the best-ranked one that answered decided.

Ruled out: two of three homes (refuses with two upstreams of a pool down); asking the service for every key (a write for each request).

Change: homes decide only if all answer alike; else ClaimRegister decides once for each generation by compare-and-swap.

--- a/include/bergamotpaddle/Agent/ClaimTable.h
+++ b/include/bergamotpaddle/Agent/ClaimTable.h
@@ -32,8 +32,12 @@
     std::string m_fingerprint;
     UpstreamId m_place;
     std::uint64_t m_generation = 1;
+    bool m_mayHaveRun = false; ///< An earlier place was given up without proof.
   };
 
+  static ClaimReply Reply(const ClaimRequest& aRequest,
+                          ClaimVerdict aVerdict,
+                          const Claim& aClaim);
   void Forget(Instant aNow);
 
   Duration m_retention;
--- a/include/bergamotpaddle/Budget/Ledger.h
+++ b/include/bergamotpaddle/Budget/Ledger.h
@@ -207,7 +207,7 @@
   std::map<AgentId, std::uint64_t> m_through;
   std::map<AgentId, std::uint64_t> m_durableThrough;
   std::map<std::string, std::uint64_t> m_doubled;
-  std::set<std::string>
+  std::multiset<std::string>
     m_doubledOpen; ///< Of requests that may still send attempts.
   bool m_dirty = false;
   bool m_retiring = false;
--- a/include/bergamotpaddle/Router/RequestTable.h
+++ b/include/bergamotpaddle/Router/RequestTable.h
@@ -11,6 +11,7 @@
 #include "bergamotpaddle/Config/Configuration.h"
 #include "bergamotpaddle/Events/EventRing.h"
 #include "bergamotpaddle/Router/Balancer.h"
+#include "bergamotpaddle/Router/ClaimRegister.h"
 
 namespace bergamotpaddle {
 
@@ -63,6 +64,12 @@
   std::function<bool(const UpstreamId&, Message)> m_send;
   std::function<Ledger&()> m_ledger;
   std::function<const Configuration&()> m_configuration;
+  /// As ClaimRegister::Decide.
+  std::function<void(const AccountId&,
+                     const RequestKey&,
+                     KeyPlacement,
+                     ClaimRegister::DecidedHook)>
+    m_decide;
   EventHook m_event;
 };
 
@@ -116,6 +123,7 @@
   enum class AttemptState
   {
     kClaiming, ///< Homes are asked.
+    kDeciding, ///< Homes did not agree; the key-value service is asked.
     kCredit,   ///< Waits for credit.
     kSent,     ///< The agent has not answered yet.
     kAccepted,
@@ -153,6 +161,7 @@
     std::uint64_t m_replacesGeneration = 0;
     int m_tries = 0;
     bool m_mayHaveRun = false; ///< Some attempt was lost.
+    bool m_isDoubled = false;  ///< Marked so in the ledger, once.
     bool m_isPlaced = false; ///< A home names a place that has not disowned it.
     ResultCode m_lastRefusal = ResultCode::kNoUpstream;
     std::string
@@ -169,8 +178,15 @@
   void TryNext(RequestNumber aNumber);
   void Claim(AttemptId aAttempt);
   std::vector<UpstreamId> HomesOf(const Request& aRequest) const;
-  std::optional<ClaimReply> Verdict(const Attempt& aAttempt) const;
-  void ClaimDecided(AttemptId aAttempt);
+  void ClaimsHeard(AttemptId aAttempt);
+  std::optional<ClaimReply> AgreedVerdict(const Attempt& aAttempt) const;
+  KeyPlacement ProposalOf(AttemptId aAttempt) const;
+  void Decide(AttemptId aAttempt);
+  void Decided(AttemptId aAttempt,
+               const std::string& aClaimant,
+               const absl::StatusOr<KeyPlacement>& aDecision);
+  void FollowClaim(AttemptId aAttempt, const ClaimReply& aVerdict);
+  std::string ClaimantOf(AttemptId aAttempt) const;
   void AskCredit(AttemptId aAttempt);
   void Send(AttemptId aAttempt);
   void AttachTo(RequestNumber aNumber, const ClaimReply& aPlaced);
--- a/include/bergamotpaddle/Router/RouterCore.h
+++ b/include/bergamotpaddle/Router/RouterCore.h
@@ -23,6 +23,7 @@
   Duration m_peerRedialAfter = std::chrono::seconds(1);
   DirectoryOptions m_directory;
   RequestOptions m_requests;
+  ClaimRegisterOptions m_claims;
   LedgerOptions m_ledger;
   HolderWatchOptions m_holderWatch;
   BalancerOptions m_balancer;
@@ -143,6 +144,7 @@
   CreditExchange m_credit;
   Recovery m_recovery;
   HolderWatch m_holderWatch;
+  ClaimRegister m_claims;
   RequestTable m_requests;
   std::vector<PeerRouter> m_peerRouters;
   std::set<PeerId> m_open;
--- a/include/bergamotpaddle/Wire/Messages.h
+++ b/include/bergamotpaddle/Wire/Messages.h
@@ -77,7 +77,8 @@
   UpstreamId m_place;
   UpstreamId m_replaces; ///< The place that was proved not to run it, or empty.
   std::uint64_t m_replacesGeneration =
-    0; ///< Of that placement; a later one is not moved.
+    0;                       ///< Of that placement; a later one is not moved.
+  bool m_mayHaveRun = false; ///< The replaced place was given up without proof.
   auto operator<=>(const ClaimRequest&) const = default;
   MSGPACK_DEFINE(m_attempt,
                  m_account,
@@ -85,7 +86,8 @@
                  m_fingerprint,
                  m_place,
                  m_replaces,
-                 m_replacesGeneration)
+                 m_replacesGeneration,
+                 m_mayHaveRun)
 };
 
 /// What a home says to a claim.
@@ -103,8 +105,9 @@
   ClaimVerdict m_verdict = ClaimVerdict::kGranted;
   UpstreamId m_place;
   std::uint64_t m_generation = 0; ///< Rises each time the key is moved.
+  bool m_mayHaveRun = false; ///< An earlier place was given up without proof.
   auto operator<=>(const ClaimReply&) const = default;
-  MSGPACK_DEFINE(m_attempt, m_verdict, m_place, m_generation)
+  MSGPACK_DEFINE(m_attempt, m_verdict, m_place, m_generation, m_mayHaveRun)
 };
 
 /// Router to agent: run this. Answered by Accepted or Refused.
--- a/lib/Agent/ClaimTable.cpp
+++ b/lib/Agent/ClaimTable.cpp
@@ -8,26 +8,34 @@
 {
 }
 
+ClaimReply
+ClaimTable::Reply(const ClaimRequest& aRequest,
+                  ClaimVerdict aVerdict,
+                  const Claim& aClaim)
+{
+  return { aRequest.m_attempt,
+           aVerdict,
+           aClaim.m_place,
+           aClaim.m_generation,
+           aClaim.m_mayHaveRun };
+}
+
 ClaimReply
 ClaimTable::Answer(const ClaimRequest& aRequest, Instant aNow)
 {
   Forget(aNow);
   const Name name{ aRequest.m_account, aRequest.m_key };
   auto [entry, isNew] = m_claims.try_emplace(
-    name, Claim{ aRequest.m_fingerprint, aRequest.m_place, 1 });
+    name,
+    Claim{
+      aRequest.m_fingerprint, aRequest.m_place, 1, aRequest.m_mayHaveRun });
   Claim& claim = entry->second;
   if (isNew) {
     m_byAge.emplace_back(aNow, name);
-    return { aRequest.m_attempt,
-             ClaimVerdict::kGranted,
-             claim.m_place,
-             claim.m_generation };
+    return Reply(aRequest, ClaimVerdict::kGranted, claim);
   }
   if (claim.m_fingerprint != aRequest.m_fingerprint) {
-    return { aRequest.m_attempt,
-             ClaimVerdict::kMismatch,
-             claim.m_place,
-             claim.m_generation };
+    return Reply(aRequest, ClaimVerdict::kMismatch, claim);
   }
   const bool isReplaced = !aRequest.m_replaces.Empty() &&
                           claim.m_place == aRequest.m_replaces &&
@@ -35,14 +43,10 @@
   if (isReplaced) {
     claim.m_place = aRequest.m_place;
     ++claim.m_generation;
-    return { aRequest.m_attempt,
-             ClaimVerdict::kGranted,
-             claim.m_place,
-             claim.m_generation };
+    claim.m_mayHaveRun = claim.m_mayHaveRun || aRequest.m_mayHaveRun;
+    return Reply(aRequest, ClaimVerdict::kGranted, claim);
   }
-  return {
-    aRequest.m_attempt, ClaimVerdict::kPlaced, claim.m_place, claim.m_generation
-  };
+  return Reply(aRequest, ClaimVerdict::kPlaced, claim);
 }
 
 void
--- a/lib/Budget/Ledger.cpp
+++ b/lib/Budget/Ledger.cpp
@@ -196,7 +196,11 @@
 void
 Ledger::EndDoubled(const AccountId& aAccount, const RequestKey& aKey)
 {
-  m_doubledOpen.erase(DoubledName(aAccount, aKey));
+  const auto open = m_doubledOpen.find(DoubledName(aAccount, aKey));
+  if (open == m_doubledOpen.end()) {
+    return;
+  }
+  m_doubledOpen.erase(open);
   ForgetDoubledIfOver(aAccount, aKey);
 }
 
--- a/lib/Router/RequestPlacement.cpp
+++ b/lib/Router/RequestPlacement.cpp
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr Duration kAttachPoll = std::chrono::milliseconds(100);
-/// For how long homes remember claims; a younger one may have forgotten some.
-constexpr std::uint64_t kClaimMemoryMilliseconds = 300'000;
 
 } // namespace
 
@@ -99,77 +97,163 @@
                                    dispatch.m_fingerprint,
                                    attempt.m_place,
                                    request.m_replaces,
-                                   request.m_replacesGeneration });
+                                   request.m_replacesGeneration,
+                                   request.m_mayHaveRun });
     if (isSent) {
       attempt.m_asked.insert(home);
     }
   }
   if (attempt.m_asked.empty()) {
-    ClaimDecided(aAttempt);
+    ClaimsHeard(aAttempt);
     return;
   }
   m_timers.m_after(m_options.m_claimTimeout, [this, aAttempt] {
     Attempt* late = FindAttempt(aAttempt);
     if (late != nullptr && late->m_state == AttemptState::kClaiming) {
-      ClaimDecided(aAttempt);
+      ClaimsHeard(aAttempt);
     }
   });
 }
 
 std::optional<ClaimReply>
-RequestTable::Verdict(const Attempt& aAttempt) const
+RequestTable::AgreedVerdict(const Attempt& aAttempt) const
 {
-  std::optional<ClaimReply> decided;
-  bool mayHaveForgotten = false;
-  for (const UpstreamId& home : HomesOf(m_requests.at(aAttempt.m_request))) {
-    auto verdict = aAttempt.m_verdicts.find(home);
-    if (verdict == aAttempt.m_verdicts.end()) {
-      continue;
+  const std::vector<UpstreamId> homes =
+    HomesOf(m_requests.at(aAttempt.m_request));
+  if (aAttempt.m_verdicts.size() < homes.size()) {
+    return std::nullopt;
+  }
+  const ClaimReply& first = aAttempt.m_verdicts.begin()->second;
+  for (const auto& [home, verdict] : aAttempt.m_verdicts) {
+    if (verdict != first) {
+      return std::nullopt;
     }
-    const bool knows = verdict->second.m_verdict != ClaimVerdict::kGranted;
-    if (!decided.has_value()) {
-      // The best-ranked home decides, so that two routers at once agree ...
-      decided = verdict->second;
-      const AgentView* agent = m_directory->Find(home);
-      mayHaveForgotten =
-        !knows && agent != nullptr &&
-        agent->m_heartbeat.m_ageMilliseconds < kClaimMemoryMilliseconds;
-      continue;
+  }
+  return first;
+}
+
+void
+RequestTable::ClaimsHeard(AttemptId aAttempt)
+{
+  const Attempt& attempt = *FindAttempt(aAttempt);
+  const RequestNumber number = attempt.m_request;
+  if (attempt.m_verdicts.empty()) {
+    // No home answered: the key may run elsewhere without our knowing.
+    DropAttempt(aAttempt);
+    Fail(number, ResultCode::kOutcomeUnknown, Ran::kUnknown);
+    return;
+  }
+  for (const auto& [home, verdict] : attempt.m_verdicts) {
+    if (verdict.m_verdict == ClaimVerdict::kMismatch) {
+      DropAttempt(aAttempt);
+      Fail(number, ResultCode::kKeyReused, Ran::kNo);
+      return;
     }
-    if (knows && mayHaveForgotten) {
-      // ... unless it may have known before a restart and another one does.
-      return verdict->second;
+  }
+  if (const std::optional<ClaimReply> agreed = AgreedVerdict(attempt)) {
+    FollowClaim(aAttempt, *agreed);
+    return;
+  }
+  Decide(aAttempt);
+}
+
+std::string
+RequestTable::ClaimantOf(AttemptId aAttempt) const
+{
+  return absl::StrCat(m_hooks.m_ledger().Holder().Str(), "/", aAttempt);
+}
+
+KeyPlacement
+RequestTable::ProposalOf(AttemptId aAttempt) const
+{
+  const Attempt& attempt = m_attempts.at(aAttempt);
+  const ClaimReply* best = nullptr;
+  for (const auto& [home, verdict] : attempt.m_verdicts) {
+    // What a home knew before wins over what it granted now: the attempt that
+    // placed it may have been granted by all homes, and then asks nobody else.
+    const bool isBetter = best == nullptr ||
+                          verdict.m_generation > best->m_generation ||
+                          (verdict.m_generation == best->m_generation &&
+                           verdict.m_verdict == ClaimVerdict::kPlaced);
+    if (isBetter) {
+      best = &verdict;
     }
   }
-  return decided;
+  const bool isOwn = best->m_verdict == ClaimVerdict::kGranted;
+  return { m_requests.at(attempt.m_request).m_new.m_dispatch.m_fingerprint,
+           best->m_place,
+           best->m_generation,
+           isOwn ? ClaimantOf(aAttempt) : "",
+           best->m_mayHaveRun };
 }
 
 void
-RequestTable::ClaimDecided(AttemptId aAttempt)
+RequestTable::Decide(AttemptId aAttempt)
 {
   Attempt& attempt = *FindAttempt(aAttempt);
-  const RequestNumber number = attempt.m_request;
-  Request& request = *Find(number);
-  const std::optional<ClaimReply> verdict = Verdict(attempt);
-  if (!verdict.has_value()) {
-    // No home answered: the key may run elsewhere without our knowing.
+  attempt.m_state = AttemptState::kDeciding;
+  m_hooks.m_decide(attempt.m_account,
+                   attempt.m_key,
+                   ProposalOf(aAttempt),
+                   [this, aAttempt, claimant = ClaimantOf(aAttempt)](
+                     const absl::StatusOr<KeyPlacement>& aDecision) {
+                     if (CurrentOf(aAttempt) != nullptr) {
+                       Decided(aAttempt, claimant, aDecision);
+                     }
+                   });
+}
+
+void
+RequestTable::Decided(AttemptId aAttempt,
+                      const std::string& aClaimant,
+                      const absl::StatusOr<KeyPlacement>& aDecision)
+{
+  const RequestNumber number = FindAttempt(aAttempt)->m_request;
+  const Request& request = *Find(number);
+  if (!aDecision.ok()) {
+    Note("claim_undecided",
+         request,
+         {},
+         std::string(aDecision.status().message()));
     DropAttempt(aAttempt);
     Fail(number, ResultCode::kOutcomeUnknown, Ran::kUnknown);
     return;
   }
-  if (verdict->m_verdict == ClaimVerdict::kMismatch) {
+  if (aDecision->m_fingerprint != request.m_new.m_dispatch.m_fingerprint) {
     DropAttempt(aAttempt);
     Fail(number, ResultCode::kKeyReused, Ran::kNo);
     return;
   }
-  if (verdict->m_verdict == ClaimVerdict::kPlaced) {
+  const bool isGranted = aDecision->m_claimant == aClaimant;
+  FollowClaim(aAttempt,
+              { aAttempt,
+                isGranted ? ClaimVerdict::kGranted : ClaimVerdict::kPlaced,
+                aDecision->m_place,
+                aDecision->m_generation,
+                aDecision->m_mayHaveRun });
+}
+
+void
+RequestTable::FollowClaim(AttemptId aAttempt, const ClaimReply& aVerdict)
+{
+  Attempt& attempt = *FindAttempt(aAttempt);
+  const RequestNumber number = attempt.m_request;
+  Request& request = *Find(number);
+  if (aVerdict.m_verdict == ClaimVerdict::kPlaced) {
     DropAttempt(aAttempt);
-    Note("placed_before", request, verdict->m_place);
+    Note("placed_before", request, aVerdict.m_place);
     request.m_isPlaced = true;
-    AttachWhenUp(number, *verdict, m_timers.m_now());
+    AttachWhenUp(number, aVerdict, m_timers.m_now());
+    return;
+  }
+  if (aVerdict.m_mayHaveRun && !request.m_mayHaveRun) {
+    // Another request gave a place up that may still run the key, and its
+    // router's ledger would not know that this run is the second.
+    DropAttempt(aAttempt);
+    Fail(number, ResultCode::kOutcomeUnknown, Ran::kUnknown);
     return;
   }
-  attempt.m_generation = verdict->m_generation;
+  attempt.m_generation = aVerdict.m_generation;
   request.m_replaces = {};
   request.m_replacesGeneration = 0;
   AskCredit(aAttempt);
--- a/lib/Router/RequestResume.cpp
+++ b/lib/Router/RequestResume.cpp
@@ -22,6 +22,7 @@
 {
   Attempt& attempt = *FindAttempt(aAttempt);
   if (attempt.m_state == AttemptState::kClaiming ||
+      attempt.m_state == AttemptState::kDeciding ||
       attempt.m_state == AttemptState::kCredit) {
     // Send() notices that the link is gone.
     return;
@@ -62,7 +63,10 @@
   Unplace(*request, *attempt);
   // The lost attempt keeps its allotment until its fate is known; of the two
   // charges that may come, only the first counts.
-  m_hooks.m_ledger().MarkDoubled(attempt->m_account, attempt->m_key);
+  if (!request->m_isDoubled) {
+    m_hooks.m_ledger().MarkDoubled(attempt->m_account, attempt->m_key);
+    request->m_isDoubled = true;
+  }
   ++m_counters.m_resumed;
   Retry(number, ResultCode::kOutcomeUnknown);
 }
--- a/lib/Router/RequestTable.cpp
+++ b/lib/Router/RequestTable.cpp
@@ -100,7 +100,7 @@
   }
   attempt->m_verdicts[aFrom] = aMessage;
   if (attempt->m_verdicts.size() == attempt->m_asked.size()) {
-    ClaimDecided(aMessage.m_attempt);
+    ClaimsHeard(aMessage.m_attempt);
   }
 }
 
@@ -419,8 +419,10 @@
 {
   const Request& ending = *Find(aNumber);
   const AttemptId current = ending.m_current;
-  m_hooks.m_ledger().EndDoubled(ending.m_new.m_dispatch.m_account,
-                                ending.m_new.m_dispatch.m_key);
+  if (ending.m_isDoubled) {
+    m_hooks.m_ledger().EndDoubled(ending.m_new.m_dispatch.m_account,
+                                  ending.m_new.m_dispatch.m_key);
+  }
   m_requests.erase(aNumber);
   Attempt* attempt = FindAttempt(current);
   if (attempt == nullptr) {
--- a/lib/Router/RouterCore.cpp
+++ b/lib/Router/RouterCore.cpp
@@ -95,6 +95,7 @@
           m_hooks.m_event({ "recovery_begun", "", "", "", aHolder.Str() });
           m_recovery.Recover(aHolder);
         } })
+  , m_claims(m_options.m_claims, m_keyValue, m_timers)
   , m_requests(m_options.m_requests,
                m_timers,
                { [this](const UpstreamId& aUpstream, Message aMessage) {
@@ -104,6 +105,13 @@
                 },
                  [this]() -> Ledger& { return *m_ledger; },
                  [this]() -> const Configuration& { return Current(); },
+                 [this](const AccountId& aAccount,
+                        const RequestKey& aKey,
+                        KeyPlacement aProposal,
+                        ClaimRegister::DecidedHook aDone) {
+                   m_claims.Decide(
+                     aAccount, aKey, std::move(aProposal), std::move(aDone));
+                 },
                  m_hooks.m_event },
                m_directory,
                m_balancer)
--- a/unittests/Fleet/KeptCasesTest.cpp
+++ b/unittests/Fleet/KeptCasesTest.cpp
@@ -64,6 +64,36 @@
     CHECK(kept.m_fleet.Runs().size() == 1);
   }
 
+  SECTION("a run given up by one router and moved on by another: one bill")
+  {
+    FakeFleet& fleet = kept.m_fleet;
+    fleet.Network().Cut(fleet.AgentName(0), fleet.RouterName(0));
+    kept.m_oracle.Ask(0, "small", true, true, true, 1);
+    kept.Pass(700);
+    fleet.SetReachesKeyValue(fleet.RouterName(0), false);
+    kept.Pass(2000);
+    kept.m_oracle.AskAgain(0, 1);
+    CHECK(kept.Judge().empty());
+  }
+
+  SECTION("a doubled request and another with its key at the same router: the "
+          "other one's end does not forget the charge")
+  {
+    FakeFleet& fleet = kept.m_fleet;
+    fleet.Network().Cut(fleet.RouterName(1), fleet.AgentName(1));
+    for (int router : { 0, 0, 1, 1, 1, 0 }) {
+      kept.m_oracle.Ask(router, "small", true, true, false, 1);
+    }
+    kept.Pass(200);
+    kept.m_oracle.Ask(1, "big", true, true, true, 1);
+    fleet.Network().Cut(fleet.AgentName(2), fleet.RouterName(1));
+    kept.m_oracle.AskAgain(6, 1);
+    kept.Pass(2000);
+    fleet.SetReachesKeyValue(fleet.RouterName(1), false);
+    kept.Pass(2000);
+    CHECK(kept.Judge().empty());
+  }
+
   SECTION("a frozen agent's charge comes while the second attempt waits for "
           "credit: one bill")
   {
