--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -2,28 +2,75 @@
 /// Prepaid credit of one router without agents: what it may spend of each
 /// client account on its own, through any loss of the platform.
 ///
-/// A router spends only within its own grant in the shared record, so no
-/// partition and no kill can overspend. A grant counts for spending only once a
-/// write of this router that holds it is confirmed: a value that was merely
-/// read could be undone by an older write of ours that the platform carries out
-/// late.
-///
-/// Most of a grant is a reserve for losses of the platform. Each write pledges
-/// to leave it alone for a while by the host's steady clock. A process that
-/// starts on the same boot of the host within that time proves by its start
-/// that the life before it, which had ended by then, kept the pledge: the
-/// reserve is free again. After a loss of power the clock tells nothing and the
-/// reserve stands as spent.
+/// One shared record holds, for each account, what earlier lives may have
+/// spent and the most that each living router may ever have spent (its grant).
+/// The sum never exceeds what is prepaid, and a router spends only within its
+/// own grant, so no partition and no kill can overspend. A grant counts for
+/// spending only once a write of this router that holds it is confirmed: a
+/// value that was merely read could be undone by an older write of ours that
+/// the platform carries out late.
 #pragma once
 
-#include "bergamotpaddle/Gateway/CreditRecord.h"
 #include "bergamotpaddle/Support/Time.h"
+#include "bergamotpaddle/Support/TypedId.h"
 
+#include <absl/status/statusor.h>
+#include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 #include <utility>
 
 namespace bergamotpaddle {
 
+/// A router as the shared record names it.
+struct CreditHolder
+{
+  std::string m_host;    ///< Stable over restarts: one process at a time.
+  HolderId m_life;       ///< This run of the process.
+  std::string m_address; ///< Where other routers reach it.
+  auto operator<=>(const CreditHolder&) const = default;
+};
+
+/// What one router holds of one account.
+struct CreditGrant
+{
+  std::uint64_t m_granted = 0; ///< The most that it may ever have spent.
+  std::uint64_t m_spent = 0;   ///< Spent for certain when this was written.
+  std::uint64_t m_rate = 0;    ///< Demand then, in tokens a second.
+  auto operator<=>(const CreditGrant&) const = default;
+};
+
+/// One account in the shared record.
+struct AccountCredit
+{
+  std::uint64_t m_closed = 0; ///< Grants of lives that ended, taken as spent.
+  std::uint64_t m_closedSpent = 0; ///< Of these, what was spent for certain.
+  std::map<HolderId, CreditGrant> m_grants;
+  auto operator<=>(const AccountCredit&) const = default;
+
+  /// What is spent or granted: nobody else may have it.
+  std::uint64_t Committed() const;
+  /// What is spent for certain.
+  std::uint64_t Spent() const;
+  /// Demand of all routers, in tokens a second.
+  std::uint64_t Rate() const;
+  /// Takes the grant of \p aLife as spent.
+  void Close(const HolderId& aLife);
+};
+
+/// The shared record.
+struct CreditRecord
+{
+  std::map<HolderId, CreditHolder> m_holders;
+  std::map<AccountId, AccountCredit> m_accounts;
+  auto operator<=>(const CreditRecord&) const = default;
+
+  std::string Encode() const;
+  /// Fails on anything that is not a whole record: credit is never guessed.
+  static absl::StatusOr<CreditRecord> Decode(const std::string& aText);
+};
+
 /// How much is held beyond what was spent.
 struct CreditOptions
 {
@@ -43,18 +90,6 @@
   double m_fadeEnd = 0.2;
   double m_fadeSlope = 1.0;
   double m_leastShare = 0.025;
-  /// For how long a write pledges to leave reserves alone: the time between
-  /// two writes and the longest restart seen on the users' sites, 1.4 s.
-  Duration m_pledge = std::chrono::milliseconds(4000);
-  /// Added before a reserve is touched: the clocks of a pledge are read apart
-  /// and in whole milliseconds.
-  Duration m_pledgeMargin = std::chrono::milliseconds(100);
-  /// Greatest change of the time of day, beside the steady clock, with which a
-  /// restarted process still takes the host's boot for the same.
-  Duration m_sameBootWithin = std::chrono::milliseconds(500);
-  /// Demand that the part beyond the reserve covers: a loss of the platform
-  /// until the pledge ends.
-  Duration m_unpledged = std::chrono::milliseconds(4000);
   /// Demand that is asked of another router at a time.
   Duration m_borrowedSpan = std::chrono::seconds(3);
   /// A grant above the wanted one by this factor is lowered.
@@ -83,7 +118,6 @@
 class CreditBook
 {
 public:
-  /// \p aSelf with the time at which the process started.
   CreditBook(CreditHolder aSelf, CreditOptions aOptions);
 
   /// Sets an account's budget; true if it changed. An account that is not set
@@ -105,10 +139,9 @@
   /// spendable here. Lost on the way, it stays unspent.
   std::map<AccountId, std::uint64_t> Lend(
     const std::map<AccountId, std::uint64_t>& aWanted,
-    double aShare,
-    Instant aNow);
+    double aShare);
   /// Everything spendable, as a wish.
-  std::map<AccountId, std::uint64_t> AllSpendable(Instant aNow) const;
+  std::map<AccountId, std::uint64_t> AllSpendable() const;
   /// Takes what another router lent; it may be spent at once.
   void Borrow(const std::map<AccountId, std::uint64_t>& aTokens);
   /// What is wanted of accounts that were refused for want of credit since the
@@ -119,13 +152,10 @@
   /// than half of its headroom left.
   bool IsShort(Instant aNow) const;
 
-  /// The record that this router wants, given the one that is \p aPresent; it
-  /// pledges from \p aHostNow, read not after \p aNow, unless an earlier write
-  /// may still take effect: then its pledge stands. From here until `Confirm`
-  /// or `Drop` spending stays within both the old and the new grants.
-  CreditRecord Plan(const CreditRecord& aPresent,
-                    Instant aNow,
-                    const HostTime& aHostNow);
+  /// The record that this router wants, given the one that is \p aPresent, or
+  /// nullopt if nothing is worth a write. From here until `Confirm` or `Drop`
+  /// spending stays within both the old and the new grants.
+  std::optional<CreditRecord> Plan(const CreditRecord& aPresent, Instant aNow);
 
   /// The record for a planned stop, with nothing under way any more: this life
   /// closes at what it used, so that nothing is lost. From here on nothing is
@@ -137,10 +167,10 @@
   /// The planned record was not written, or nobody knows.
   void Drop();
 
-  CreditStatus Status(const AccountId& aAccount, Instant aNow) const;
+  CreditStatus Status(const AccountId& aAccount) const;
 
   /// Tokens that may still be allotted for \p aAccount.
-  std::uint64_t Spendable(const AccountId& aAccount, Instant aNow) const;
+  std::uint64_t Spendable(const AccountId& aAccount) const;
 
 private:
   /// One account as this router sees it.
@@ -149,8 +179,6 @@
     std::uint64_t m_prepaid = 0;
     std::uint64_t m_granted = 0; ///< Confirmed.
     std::uint64_t m_planned = 0; ///< In the write under way.
-    std::uint64_t m_free = 0;    ///< Confirmed, beyond the reserve.
-    std::uint64_t m_plannedFree = 0;
     bool m_hasPlan = false;
     std::uint64_t m_spent = 0;    ///< Settled.
     std::uint64_t m_allotted = 0; ///< Set aside for requests under way.
@@ -165,15 +193,9 @@
     double m_usualRequest = 0;          ///< Greatest size, moving average.
     std::optional<Instant> m_lastDemand;
 
-    /// The most that our own grant ever allows, whichever write takes effect.
-    std::uint64_t OwnMost() const;
-    /// What it allows while pledges hold.
-    std::uint64_t OwnFree() const;
-    std::uint64_t Most() const { return OwnMost() + m_borrowed; }
-    std::uint64_t Limit(bool aIsReserveOpen) const
-    {
-      return (aIsReserveOpen ? OwnMost() : OwnFree()) + m_borrowed;
-    }
+    /// What our own grant allows, whichever write takes effect.
+    std::uint64_t OwnLimit() const;
+    std::uint64_t Limit() const { return OwnLimit() + m_borrowed; }
     std::uint64_t Used() const { return m_spent + m_allotted + m_lent; }
     /// Spent under our own grant for certain; what was borrowed goes first.
     std::uint64_t OwnSpent() const
@@ -184,28 +206,17 @@
 
   double RateAt(const Balance& aBalance, Instant aNow) const;
   void NoteDemand(Balance& aBalance, std::uint64_t aTokens, Instant aNow) const;
-  bool IsReserveOpen(Instant aNow) const { return aNow >= m_reserveOpensAt; }
   std::uint64_t Headroom(const Balance& aBalance, Instant aNow) const;
-  /// Headroom that is worth having while pledges hold.
-  std::uint64_t UnpledgedHeadroom(const Balance& aBalance, Instant aNow) const;
   std::uint64_t WantedGrant(const Balance& aBalance,
                             std::uint64_t aFree,
                             Instant aNow) const;
-  void PlanAccount(Balance& aBalance,
-                   AccountCredit& aCredit,
-                   Instant aNow) const;
   void TakeRead(Balance& aBalance, const AccountCredit& aCredit) const;
-  /// Takes grants of earlier lives of this host as spent.
-  void CloseEarlierLives(CreditRecord& aRecord) const;
-  /// Whether \p aEarlier ended before it could touch its reserves.
-  bool HasKeptReserve(const CreditHolder& aEarlier) const;
+  /// Takes grants of earlier lives of this host as spent; true if any were.
+  bool CloseEarlierLives(CreditRecord& aRecord) const;
 
   CreditHolder m_self;
   CreditOptions m_options;
   bool m_isStopped = false;
-  HostTime m_pledge;             ///< Of the newest write.
-  bool m_isPledgeSettled = true; ///< That write was confirmed.
-  Instant m_reserveOpensAt{};    ///< After that pledge.
 
   std::size_t m_holders = 1; ///< In the record read last.
   std::map<AccountId, Balance> m_balances;
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -606,8 +606,7 @@
       .Number("events", static_cast<std::int64_t>(m_eventsDelivered));
   }
   if (m_account != nullptr && m_account->m_prepaid) {
-    const CreditStatus credit =
-      m_state->m_credit.Status(m_account->m_id, m_state->Now());
+    const CreditStatus credit = m_state->m_credit.Status(m_account->m_id);
     line.Number("allotted", static_cast<std::int64_t>(m_allotted))
       .Number("credit_limit", static_cast<std::int64_t>(credit.m_limit))
       .Number("credit_used", static_cast<std::int64_t>(credit.m_used))
--- a/lib/Gateway/CreditBook.cpp
+++ b/lib/Gateway/CreditBook.cpp
@@ -2,13 +2,15 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstdlib>
+#include <nlohmann/json.hpp>
 #include <vector>
 
 namespace bergamotpaddle {
 
 namespace {
 
+using nlohmann::json;
+
 constexpr double kRequestSmoothing = 0.1;
 
 double
@@ -17,25 +19,112 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
-std::int64_t
-WholeMs(Duration aDuration)
+} // namespace
+
+std::uint64_t
+AccountCredit::Committed() const
 {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
-    .count();
+  std::uint64_t sum = m_closed;
+  for (const auto& [life, grant] : m_grants) {
+    sum += grant.m_granted;
+  }
+  return sum;
 }
 
-} // namespace
+std::uint64_t
+AccountCredit::Spent() const
+{
+  std::uint64_t sum = m_closedSpent;
+  for (const auto& [life, grant] : m_grants) {
+    sum += grant.m_spent;
+  }
+  return sum;
+}
 
 std::uint64_t
-CreditBook::Balance::OwnMost() const
+AccountCredit::Rate() const
 {
-  return m_hasPlan ? std::min(m_granted, m_planned) : m_granted;
+  std::uint64_t sum = 0;
+  for (const auto& [life, grant] : m_grants) {
+    sum += grant.m_rate;
+  }
+  return sum;
+}
+
+void
+AccountCredit::Close(const HolderId& aLife)
+{
+  if (const auto grant = m_grants.extract(aLife)) {
+    m_closed += grant.mapped().m_granted;
+    m_closedSpent += grant.mapped().m_spent;
+  }
+}
+
+std::string
+CreditRecord::Encode() const
+{
+  // Holders by number: their names would stand once for each account.
+  json holders = json::array();
+  std::map<HolderId, std::size_t> numbers;
+  for (const auto& [life, holder] : m_holders) {
+    numbers[life] = holders.size();
+    holders.push_back({ life.Str(), holder.m_host, holder.m_address });
+  }
+  json accounts = json::object();
+  for (const auto& [account, credit] : m_accounts) {
+    json grants = json::array();
+    for (const auto& [life, grant] : credit.m_grants) {
+      const auto number = numbers.find(life);
+      if (number != numbers.end() && grant != CreditGrant{}) {
+        grants.push_back(
+          { number->second, grant.m_granted, grant.m_spent, grant.m_rate });
+      }
+    }
+    accounts[account.Str()] = { { "closed", credit.m_closed },
+                                { "closed_spent", credit.m_closedSpent },
+                                { "grants", std::move(grants) } };
+  }
+  return json{
+    { "holders", std::move(holders) }, { "accounts", std::move(accounts) }
+  }.dump();
+}
+
+absl::StatusOr<CreditRecord>
+CreditRecord::Decode(const std::string& aText)
+{
+  try {
+    const json text = json::parse(aText);
+    CreditRecord record;
+    std::vector<HolderId> lives;
+    for (const json& holder : text.at("holders")) {
+      const HolderId life(holder.at(0).get<std::string>());
+      lives.push_back(life);
+      record.m_holders[life] = { holder.at(1), life, holder.at(2) };
+    }
+    for (const auto& [account, credit] : text.at("accounts").items()) {
+      AccountCredit& entry = record.m_accounts[AccountId(account)];
+      entry.m_closed = credit.at("closed").get<std::uint64_t>();
+      entry.m_closedSpent = credit.at("closed_spent").get<std::uint64_t>();
+      for (const json& grant : credit.at("grants")) {
+        const auto number = grant.at(0).get<std::size_t>();
+        if (number >= lives.size()) {
+          return absl::DataLossError("credit record: a grant of no holder");
+        }
+        entry.m_grants[lives[number]] = { grant.at(1).get<std::uint64_t>(),
+                                          grant.at(2).get<std::uint64_t>(),
+                                          grant.at(3).get<std::uint64_t>() };
+      }
+    }
+    return record;
+  } catch (const json::exception& error) {
+    return absl::DataLossError(std::string("credit record: ") + error.what());
+  }
 }
 
 std::uint64_t
-CreditBook::Balance::OwnFree() const
+CreditBook::Balance::OwnLimit() const
 {
-  return m_hasPlan ? std::min(m_free, m_plannedFree) : m_free;
+  return m_hasPlan ? std::min(m_granted, m_planned) : m_granted;
 }
 
 CreditBook::CreditBook(CreditHolder aSelf, CreditOptions aOptions)
@@ -59,7 +148,7 @@
   }
   Balance& balance = found->second;
   NoteDemand(balance, aMost, aNow);
-  if (balance.Used() + aMost <= balance.Limit(IsReserveOpen(aNow))) {
+  if (balance.Used() + aMost <= balance.Limit()) {
     balance.m_allotted += aMost;
     return CreditVerdict::kAllotted;
   }
@@ -83,13 +172,12 @@
 
 std::map<AccountId, std::uint64_t>
 CreditBook::Lend(const std::map<AccountId, std::uint64_t>& aWanted,
-                 double aShare,
-                 Instant aNow)
+                 double aShare)
 {
   std::map<AccountId, std::uint64_t> lent;
   for (const auto& [account, wanted] : aWanted) {
     const auto most = static_cast<std::uint64_t>(
-      static_cast<double>(Spendable(account, aNow)) * aShare);
+      static_cast<double>(Spendable(account)) * aShare);
     if (const std::uint64_t tokens = std::min(wanted, most); tokens > 0) {
       m_balances[account].m_lent += tokens;
       lent[account] = tokens;
@@ -99,11 +187,11 @@
 }
 
 std::map<AccountId, std::uint64_t>
-CreditBook::AllSpendable(Instant aNow) const
+CreditBook::AllSpendable() const
 {
   std::map<AccountId, std::uint64_t> all;
   for (const auto& [account, balance] : m_balances) {
-    all[account] = Spendable(account, aNow);
+    all[account] = Spendable(account);
   }
   return all;
 }
@@ -181,27 +269,13 @@
     std::max({ byDemand, byRequests, withoutDemand }));
 }
 
-std::uint64_t
-CreditBook::UnpledgedHeadroom(const Balance& aBalance, Instant aNow) const
-{
-  const std::uint64_t whole = Headroom(aBalance, aNow);
-  if (!aBalance.m_lastDemand) {
-    return whole / 2;
-  }
-  const double byDemand =
-    RateAt(aBalance, aNow) * Seconds(m_options.m_unpledged);
-  const double byRequests = m_options.m_minRequests * aBalance.m_usualRequest;
-  return std::min(whole,
-                  static_cast<std::uint64_t>(std::max(byDemand, byRequests)));
-}
-
 std::uint64_t
 CreditBook::WantedGrant(const Balance& aBalance,
                         std::uint64_t aFree,
                         Instant aNow) const
 {
   const std::uint64_t wanted = aBalance.Used() + Headroom(aBalance, aNow);
-  const std::uint64_t granted = aBalance.Most();
+  const std::uint64_t granted = aBalance.Limit();
   if (wanted > granted) {
     return granted + std::min(wanted - granted, aFree);
   }
@@ -216,93 +290,65 @@
   return std::any_of(
     m_balances.begin(), m_balances.end(), [&](const auto& aEntry) {
       const Balance& balance = aEntry.second;
-      const std::uint64_t limit = balance.Limit(false);
+      const std::uint64_t limit = balance.Limit();
       const std::uint64_t left =
         limit > balance.Used() ? limit - balance.Used() : 0;
-      const bool canGrow =
-        balance.m_freeAtLastRead > 0 || balance.Most() > balance.Limit(false);
-      return canGrow && left < UnpledgedHeadroom(balance, aNow) / 4;
+      return left < Headroom(balance, aNow) / 2;
     });
 }
 
 bool
-CreditBook::HasKeptReserve(const CreditHolder& aEarlier) const
-{
-  const HostTime& pledge = aEarlier.m_pledgedAt;
-  const HostTime& start = m_self.m_pledgedAt;
-  const std::int64_t stepped =
-    std::abs(pledge.m_originUnixMs - start.m_originUnixMs);
-  const bool isSameBoot = pledge.m_boot == start.m_boot &&
-                          stepped <= WholeMs(m_options.m_sameBootWithin);
-  return isSameBoot && start.m_steadyMs >= pledge.m_steadyMs &&
-         start.m_steadyMs < pledge.m_steadyMs + WholeMs(m_options.m_pledge);
-}
-
-void
 CreditBook::CloseEarlierLives(CreditRecord& aRecord) const
 {
-  std::vector<CreditHolder> ended;
+  std::vector<HolderId> ended;
   for (const auto& [life, holder] : aRecord.m_holders) {
     if (holder.m_host == m_self.m_host && life != m_self.m_life) {
-      ended.push_back(holder);
+      ended.push_back(life);
     }
   }
-  for (const CreditHolder& holder : ended) {
-    aRecord.m_holders.erase(holder.m_life);
+  for (const HolderId& life : ended) {
+    aRecord.m_holders.erase(life);
     for (auto& [account, credit] : aRecord.m_accounts) {
-      credit.Close(holder.m_life, HasKeptReserve(holder));
+      credit.Close(life);
     }
   }
+  return !ended.empty();
 }
 
-CreditRecord
-CreditBook::Plan(const CreditRecord& aPresent,
-                 Instant aNow,
-                 const HostTime& aHostNow)
+std::optional<CreditRecord>
+CreditBook::Plan(const CreditRecord& aPresent, Instant aNow)
 {
-  // While the platform is lost writes are tried on, and each would put the end
-  // of the pledge off.
-  if (std::exchange(m_isPledgeSettled, false)) {
-    m_pledge = aHostNow;
-    m_reserveOpensAt = aNow + m_options.m_pledge + m_options.m_pledgeMargin;
-  }
   CreditRecord record = aPresent;
-  CloseEarlierLives(record);
-  CreditHolder self = m_self;
-  self.m_pledgedAt = m_pledge;
-  record.m_holders[m_self.m_life] = self;
+  bool isChanged = CloseEarlierLives(record);
+  if (record.m_holders[m_self.m_life] != m_self) {
+    record.m_holders[m_self.m_life] = m_self;
+    isChanged = true;
+  }
   m_holders = record.m_holders.size();
   for (auto& [account, balance] : m_balances) {
     AccountCredit& credit = record.m_accounts[account];
-    PlanAccount(balance, credit, aNow);
+    CreditGrant& grant = credit.m_grants[m_self.m_life];
+    const std::uint64_t inRecord = grant.m_granted;
+    // Our own entry counts as what we may spend now: what the record says
+    // beyond that is a lowering of ours that did not arrive.
+    grant = { balance.OwnLimit(), 0, 0 };
+    TakeRead(balance, credit);
+    const std::uint64_t wanted =
+      WantedGrant(balance, balance.m_freeAtLastRead, aNow);
+    grant = { wanted - std::min(wanted, balance.m_borrowed),
+              balance.OwnSpent(),
+              static_cast<std::uint64_t>(RateAt(balance, aNow)) };
+    balance.m_planned = grant.m_granted;
+    balance.m_hasPlan = true;
+    isChanged = isChanged || grant.m_granted != inRecord;
+  }
+  if (!isChanged) {
+    Drop();
+    return std::nullopt;
   }
   return record;
 }
 
-void
-CreditBook::PlanAccount(Balance& aBalance,
-                        AccountCredit& aCredit,
-                        Instant aNow) const
-{
-  CreditGrant& grant = aCredit.m_grants[m_self.m_life];
-  // Our own entry counts as what we may spend now: what the record says beyond
-  // that is a lowering of ours that did not arrive.
-  grant = { aBalance.OwnMost(), 0, 0, 0 };
-  TakeRead(aBalance, aCredit);
-  const std::uint64_t wanted =
-    WantedGrant(aBalance, aBalance.m_freeAtLastRead, aNow);
-  const std::uint64_t used = aBalance.Used();
-  const std::uint64_t ownUsed = used - std::min(used, aBalance.m_borrowed);
-  aBalance.m_planned = wanted - std::min(wanted, aBalance.m_borrowed);
-  aBalance.m_plannedFree =
-    std::min(aBalance.m_planned, ownUsed + UnpledgedHeadroom(aBalance, aNow));
-  aBalance.m_hasPlan = true;
-  grant = { aBalance.m_planned,
-            aBalance.OwnSpent(),
-            static_cast<std::uint64_t>(RateAt(aBalance, aNow)),
-            aBalance.m_planned - aBalance.m_plannedFree };
-}
-
 void
 CreditBook::TakeRead(Balance& aBalance, const AccountCredit& aCredit) const
 {
@@ -330,8 +376,7 @@
     const std::uint64_t used = balance->second.Used();
     grant.m_granted = used - std::min(used, balance->second.m_borrowed);
     grant.m_spent = balance->second.OwnSpent();
-    grant.m_reserve = 0;
-    credit.Close(m_self.m_life, false);
+    credit.Close(m_self.m_life);
   }
   record.m_holders.erase(m_self.m_life);
   return record;
@@ -340,11 +385,9 @@
 void
 CreditBook::Confirm()
 {
-  m_isPledgeSettled = true;
   for (auto& [account, balance] : m_balances) {
     if (balance.m_hasPlan) {
       balance.m_granted = balance.m_planned;
-      balance.m_free = balance.m_plannedFree;
       balance.m_hasPlan = false;
     }
   }
@@ -354,34 +397,32 @@
 CreditBook::Drop()
 {
   for (auto& [account, balance] : m_balances) {
-    balance.m_granted = balance.OwnMost();
-    balance.m_free = balance.OwnFree();
+    balance.m_granted = balance.OwnLimit();
     balance.m_hasPlan = false;
   }
 }
 
 CreditStatus
-CreditBook::Status(const AccountId& aAccount, Instant aNow) const
+CreditBook::Status(const AccountId& aAccount) const
 {
   const auto found = m_balances.find(aAccount);
   if (found == m_balances.end()) {
     return {};
   }
   const Balance& balance = found->second;
-  return { balance.m_prepaid,
-           balance.Limit(IsReserveOpen(aNow)),
-           balance.Used(),
-           balance.m_freeAtLastRead };
+  return {
+    balance.m_prepaid, balance.Limit(), balance.Used(), balance.m_freeAtLastRead
+  };
 }
 
 std::uint64_t
-CreditBook::Spendable(const AccountId& aAccount, Instant aNow) const
+CreditBook::Spendable(const AccountId& aAccount) const
 {
   const auto found = m_balances.find(aAccount);
   if (found == m_balances.end()) {
     return 0;
   }
-  const std::uint64_t limit = found->second.Limit(IsReserveOpen(aNow));
+  const std::uint64_t limit = found->second.Limit();
   const std::uint64_t used = found->second.Used();
   return limit > used ? limit - used : 0;
 }
--- a/unittests/Gateway/CreditBookTest.cpp
+++ b/unittests/Gateway/CreditBookTest.cpp
@@ -20,24 +20,17 @@
 CreditHolder
 Router(const std::string& aHost, const std::string& aLife)
 {
-  return { aHost, HolderId(aHost + "/" + aLife), aHost + ":7200", {} };
-}
-
-/// The clocks of a host whose boot has the number \p aBoot, by the tests' time.
-HostTime
-HostAt(Instant aNow, int aBoot = 1)
-{
-  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-    aNow.time_since_epoch());
-  return { "boot", now.count(), aBoot * 1'000'000 };
+  return { aHost, HolderId(aHost + "/" + aLife), aHost + ":7200" };
 }
 
 /// Writes what \p aBook wants, as if the platform had taken it.
 void
 Draw(CreditBook& aBook, CreditRecord& aRecord, Instant aNow)
 {
-  aRecord = aBook.Plan(aRecord, aNow, HostAt(aNow));
-  aBook.Confirm();
+  if (const auto plan = aBook.Plan(aRecord, aNow)) {
+    aBook.Confirm();
+    aRecord = *plan;
+  }
 }
 
 } // namespace
@@ -53,7 +46,7 @@
   SECTION("nothing is allotted before a draw is confirmed")
   {
     CHECK(first.Allot(kCafe, 100, At(0)) == CreditVerdict::kOutOfReach);
-    first.Plan(record, At(0), HostAt(At(0)));
+    REQUIRE(first.Plan(record, At(0)).has_value());
     CHECK(first.Allot(kCafe, 100, At(0)) == CreditVerdict::kOutOfReach);
     first.Confirm();
     CHECK(first.Allot(kCafe, 100, At(0)) == CreditVerdict::kAllotted);
@@ -62,15 +55,15 @@
   SECTION("a lowering that may not have been written counts as written")
   {
     Draw(first, record, At(0));
-    const std::uint64_t before = first.Spendable(kCafe, At(60));
+    const std::uint64_t before = first.Spendable(kCafe);
     REQUIRE(before > 0);
     CreditRecord crowded = record;
     crowded.m_accounts[kCafe].m_closed = kPrepaid;
-    first.Plan(crowded, At(60), HostAt(At(60)));
-    const std::uint64_t during = first.Spendable(kCafe, At(60));
+    REQUIRE(first.Plan(crowded, At(60)).has_value());
+    const std::uint64_t during = first.Spendable(kCafe);
     CHECK(during < before);
     first.Drop();
-    CHECK(first.Spendable(kCafe, At(60)) == during);
+    CHECK(first.Spendable(kCafe) == during);
   }
 
   SECTION("idle routers return credit to the one where demand is")
@@ -105,53 +98,6 @@
     CHECK(record.m_accounts[kCafe].Committed() <= kPrepaid);
   }
 
-  SECTION("a reserve waits for the end of the pledge")
-  {
-    Draw(first, record, At(10));
-    const std::uint64_t free = first.Spendable(kCafe, At(12));
-    const CreditGrant& grant =
-      record.m_accounts[kCafe].m_grants[HolderId("a/1")];
-    CHECK(free + grant.m_reserve == grant.m_granted);
-    CHECK(first.Spendable(kCafe, At(12.7)) == grant.m_granted);
-
-    SECTION("writes that are not confirmed do not put it off")
-    {
-      first.Plan(record, At(12), HostAt(At(12)));
-      first.Drop();
-      CHECK(first.Spendable(kCafe, At(12.7)) < grant.m_granted);
-      first.Plan(record, At(13), HostAt(At(13)));
-      first.Drop();
-      CHECK(first.Spendable(kCafe, At(14.7)) == grant.m_granted);
-    }
-
-    SECTION("a life that starts before that end returns the reserve of the one "
-            "before")
-    {
-      CreditHolder self = Router("a", "2");
-      self.m_pledgedAt = HostAt(At(12.4));
-      CreditBook again(self, {});
-      again.SetPrepaid(kCafe, kPrepaid);
-      Draw(again, record, At(20));
-      CHECK(record.m_accounts[kCafe].m_closed == free);
-    }
-
-    SECTION("one that starts later, on another boot, or before the pledge "
-            "cannot tell")
-    {
-      for (const HostTime& start :
-           { HostAt(At(12.5)), HostAt(At(12.4), 2), HostAt(At(9)) }) {
-        CreditHolder self = Router("a", "2");
-        self.m_pledgedAt = start;
-        CreditBook again(self, {});
-        again.SetPrepaid(kCafe, kPrepaid);
-        CreditRecord taken = record;
-        const std::uint64_t granted = grant.m_granted;
-        Draw(again, taken, At(20));
-        CHECK(taken.m_accounts[kCafe].m_closed == granted);
-      }
-    }
-  }
-
   SECTION("a planned stop loses nothing")
   {
     Draw(first, record, At(0));
@@ -184,7 +130,7 @@
       other.m_spent = kPrepaid * 9 / 10;
       record.m_accounts[kCafe].m_grants[HolderId("b/1")] = other;
       Draw(first, record, At(3));
-      first.Plan(record, At(3), HostAt(At(3)));
+      first.Plan(record, At(3));
       CHECK(first.Allot(kCafe, kPrepaid / 2, At(3)) ==
             CreditVerdict::kExhausted);
     }
@@ -201,7 +147,7 @@
     CHECK_FALSE(CreditRecord::Decode("not JSON").ok());
     CHECK_FALSE(CreditRecord::Decode(R"({"holders":[],"accounts":{"a":)"
                                      R"({"closed":0,"closed_spent":0,)"
-                                     R"("grants":[[3,1,0,0,0]]}}})")
+                                     R"("grants":[[3,1,0,0]]}}})")
                   .ok());
   }
 }
--- a/unittests/Gateway/CreditFuzzTest.cpp
+++ b/unittests/Gateway/CreditFuzzTest.cpp
@@ -19,14 +19,6 @@
 constexpr int kRouters = 3;
 constexpr int kSteps = 300;
 
-/// A number from \p aFrom up to below \p aTo. RapidCheck narrows ranges in its
-/// first runs, and most of those would not spend anything.
-int
-Pick(int aFrom, int aTo)
-{
-  return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(aFrom, aTo));
-}
-
 /// The platform's store, reduced to one key.
 struct Store
 {
@@ -51,7 +43,6 @@
   CreditRecord m_known;
   std::uint64_t m_knownRevision = 0;
   std::deque<std::uint64_t> m_underWay;
-  int m_boot = 0;
 };
 
 /// A write that the store may still carry out.
@@ -64,8 +55,7 @@
 class World
 {
 public:
-  explicit World(CreditOptions aOptions = {})
-    : m_options(aOptions)
+  World()
   {
     for (int number = 0; number < kRouters; ++number) {
       Start(number);
@@ -75,35 +65,15 @@
   void Start(int aHost)
   {
     Host& host = m_hosts[aHost];
-    const int boot = host.m_boot;
     const std::string name = "host" + std::to_string(aHost);
     host = {};
-    host.m_boot = boot;
     host.m_book = std::make_unique<CreditBook>(
-      CreditHolder{ name,
-                    HolderId(name + "/" + std::to_string(++m_lives)),
-                    name,
-                    Clock(host) },
-      m_options);
+      CreditHolder{
+        name, HolderId(name + "/" + std::to_string(++m_lives)), name },
+      CreditOptions{});
     host.m_book->SetPrepaid(kKitchen, kPrepaid);
   }
 
-  /// The host's steady clock begins anew at each boot.
-  HostTime Clock(const Host& aHost) const
-  {
-    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-                       m_now.time_since_epoch())
-                       .count();
-    const std::int64_t origin = aHost.m_boot * 2'500;
-    return { "", now - origin, origin };
-  }
-
-  void LosePower(int aHost)
-  {
-    ++m_hosts[aHost].m_boot;
-    Start(aHost);
-  }
-
   void Ask(int aHost, std::uint64_t aMost)
   {
     Host& host = m_hosts[aHost];
@@ -131,27 +101,28 @@
   void Draw(int aHost, int aFault)
   {
     Host& host = m_hosts[aHost];
-    const CreditRecord plan =
-      host.m_book->Plan(host.m_known, m_now, Clock(host));
+    const auto plan = host.m_book->Plan(host.m_known, m_now);
+    if (!plan) {
+      return;
+    }
     if (aFault == 2) {
-      m_late.push_back({ plan, host.m_knownRevision });
+      m_late.push_back({ *plan, host.m_knownRevision });
       host.m_book->Drop();
       return;
     }
-    const bool isWritten = m_store.Write(plan, host.m_knownRevision);
+    const bool isWritten = m_store.Write(*plan, host.m_knownRevision);
     if (aFault == 1) {
       host.m_book->Drop();
       return;
     }
-    host.m_knownRevision = m_store.m_revision;
     if (isWritten) {
       host.m_book->Confirm();
-      host.m_known = plan;
-      return;
+      host.m_known = *plan;
+    } else {
+      host.m_book->Drop();
+      host.m_known = m_store.m_record;
     }
-    host.m_book->Drop();
-    host.m_known = m_store.m_record;
-    Draw(aHost, aFault);
+    host.m_knownRevision = m_store.m_revision;
   }
 
   /// One host lends to another; the message may be lost.
@@ -160,8 +131,8 @@
     if (aFrom == aTo) {
       return;
     }
-    const auto lent = m_hosts[aFrom].m_book->Lend(
-      m_hosts[aFrom].m_book->AllSpendable(m_now), 0.5, m_now);
+    const auto lent =
+      m_hosts[aFrom].m_book->Lend(m_hosts[aFrom].m_book->AllSpendable(), 0.5);
     if (!aIsLost) {
       m_hosts[aTo].m_book->Borrow(lent);
     }
@@ -190,19 +161,10 @@
     m_now += std::chrono::milliseconds(aMilliseconds);
   }
 
-  /// What was spent stands in the record, and no more than what was prepaid.
-  void Check() const
-  {
-    const auto account = m_store.m_record.m_accounts.find(kKitchen);
-    const std::uint64_t committed = account == m_store.m_record.m_accounts.end()
-                                      ? 0
-                                      : account->second.Committed();
-    RC_ASSERT(m_spent <= committed);
-    RC_ASSERT(committed <= kPrepaid);
-  }
+  std::uint64_t Spent() const { return m_spent; }
+  const CreditRecord& Record() const { return m_store.m_record; }
 
 private:
-  CreditOptions m_options;
   Store m_store;
   std::array<Host, kRouters> m_hosts;
   std::deque<LateWrite> m_late;
@@ -218,16 +180,16 @@
   rc::prop("spent never exceeds prepaid", [] {
     World world;
     for (int step = 0; step < kSteps; ++step) {
-      const int host = Pick(0, kRouters);
-      switch (Pick(0, 11)) {
+      const int host = *rc::gen::inRange(0, kRouters);
+      switch (*rc::gen::inRange(0, 11)) {
         case 0:
         case 1:
         case 2:
         case 3:
-          world.Ask(host, Pick(1, 4'000));
+          world.Ask(host, *rc::gen::inRange(1, 4'000));
           break;
         case 4:
-          world.End(host, Pick(0, 4'000));
+          world.End(host, *rc::gen::inRange(0, 4'000));
           break;
         case 5:
         case 6:
@@ -239,65 +201,19 @@
           world.CarryOutLate();
           break;
         case 8:
-          world.Pass(Pick(1, 3'000));
+          world.Pass(*rc::gen::inRange(1, 3'000));
           break;
         case 9:
-          world.Lend(host, Pick(0, kRouters), Pick(0, 4) == 0);
+          world.Lend(
+            host, *rc::gen::inRange(0, kRouters), *rc::gen::inRange(0, 4) == 0);
           break;
         default:
-          switch (Pick(0, 4)) {
-            case 0:
-              world.LosePower(host);
-              break;
-            case 1:
-              world.Stop(host);
-              break;
-            default:
-              world.Start(host);
-          }
+          *rc::gen::inRange(0, 4) == 0 ? world.Start(host) : world.Stop(host);
       }
-      world.Check();
+      RC_ASSERT(world.Spent() <= kPrepaid);
     }
-  });
-}
-
-TEST_CASE("no kill of a router returns a reserve that was touched",
-          "[credit][fuzz]")
-{
-  // Nearly all of a grant is reserve, so that spending comes from there.
-  CreditOptions options;
-  options.m_unpledged = std::chrono::milliseconds(20);
-  options.m_minRequests = 0.2;
-  options.m_fadeEnd = 0;
-  options.m_headroom = std::chrono::seconds(30);
-  rc::prop("spent never exceeds prepaid", [options] {
-    World world(options);
-    for (int step = 0; step < kSteps; ++step) {
-      const int host = Pick(0, kRouters);
-      switch (Pick(0, 10)) {
-        case 0:
-        case 1:
-        case 2:
-        case 3:
-        case 4:
-          world.Ask(host, Pick(500, 4'000));
-          break;
-        case 5:
-        case 6:
-          world.Draw(
-            host,
-            *rc::gen::weightedElement<int>({ { 2, 0 }, { 2, 1 }, { 1, 2 } }));
-          break;
-        case 7:
-          world.CarryOutLate();
-          break;
-        case 8:
-          world.Pass(Pick(1, 3'000));
-          break;
-        default:
-          Pick(0, 4) == 0 ? world.LosePower(host) : world.Start(host);
-      }
-      world.Check();
+    for (const auto& [account, credit] : world.Record().m_accounts) {
+      RC_ASSERT(credit.Committed() <= kPrepaid);
     }
   });
 }
