--- a/unittests/Platform/ForwardingTest.cpp
+++ b/unittests/Platform/ForwardingTest.cpp
@@ -23,6 +23,86 @@
 
 } // namespace
 
+TEST_CASE("a call of an account without credit here", "[forwarding][credit]")
+{
+  GatewayFixture fleet;
+  REQUIRE(fleet.m_startStatus.ok());
+  CreditBook& credit = fleet.m_state.m_credit;
+  const AccountId school("school");
+  credit.SetPrepaid(school, GatewayFixture::kPrepaid);
+  CreditRecord record;
+  const auto draw = [&] {
+    if (const auto plan = credit.Plan(record, fleet.m_state.Now())) {
+      credit.Confirm();
+      record = *plan;
+    }
+  };
+  draw();
+  const std::uint64_t wanted = credit.Spendable(school) + 1'000;
+  std::string request = GatewayFixture::Request(
+    "/once/",
+    "Bergamotpaddle-Token-Usage: " + std::to_string(wanted) + ",100\r\n");
+  request.replace(request.find("Bearer key"), 10, "Bearer prepaid-key");
+  for (ScriptedUpstream* upstream : { &fleet.m_first, &fleet.m_second }) {
+    upstream->m_scripts = { { GatewayFixture::Good() } };
+  }
+  int asked = 0;
+  const auto begun = std::chrono::steady_clock::now();
+  const auto arrivals = [&fleet] {
+    return fleet.m_first.m_requests.size() + fleet.m_second.m_requests.size();
+  };
+
+  SECTION("waits for the next draw and is served")
+  {
+    fleet.m_state.m_drawCredit = [&] {
+      if (++asked == 3) {
+        draw();
+      }
+      return true;
+    };
+    CHECK(StatusOf(fleet.Call(request)) == "HTTP/1.1 200");
+    CHECK_FALSE(credit.IsAwaited());
+  }
+
+  SECTION("does not wait for a store that is out of reach")
+  {
+    fleet.m_state.m_drawCredit = [&] {
+      ++asked;
+      return false;
+    };
+    const std::string answer = fleet.Call(request);
+    CHECK(StatusOf(answer) == "HTTP/1.1 503");
+    CHECK(Contains(answer, "Retry-After: "));
+    CHECK(asked == 1);
+    CHECK(arrivals() == 0);
+  }
+
+  SECTION("waits no longer than a moment")
+  {
+    fleet.m_state.m_drawCredit = [&] {
+      ++asked;
+      return true;
+    };
+    CHECK(StatusOf(fleet.Call(request)) == "HTTP/1.1 503");
+    CHECK(asked > 1);
+    CHECK(std::chrono::steady_clock::now() - begun < std::chrono::seconds(1));
+    CHECK_FALSE(credit.IsAwaited());
+    CHECK(arrivals() == 0);
+  }
+
+  SECTION("and without any left to draw is refused at once")
+  {
+    record.m_accounts[school].m_closed = GatewayFixture::kPrepaid;
+    draw();
+    fleet.m_state.m_drawCredit = [&] {
+      ++asked;
+      return true;
+    };
+    CHECK(StatusOf(fleet.Call(request)) == "HTTP/1.1 503");
+    CHECK(asked == 0);
+  }
+}
+
 TEST_CASE("a call through the gateway", "[forwarding]")
 {
   GatewayFixture fleet;
--- a/unittests/Platform/Loopback.h
+++ b/unittests/Platform/Loopback.h
@@ -124,6 +124,9 @@
     m_startStatus = m_server.Start();
   }
 
+  /// What the account "school" has paid for.
+  static constexpr std::uint64_t kPrepaid = 100'000;
+
   /// Sends \p aBytes and collects what comes until the connection ends or
   /// \p aWait passes; the caller then leaves.
   std::string Call(const std::string& aBytes,
@@ -236,7 +239,11 @@
     Account account;
     account.m_id = AccountId("cafe");
     account.m_apiKeys = { "key" };
-    config.m_accounts = { account };
+    Account prepaid;
+    prepaid.m_id = AccountId("school");
+    prepaid.m_apiKeys = { "prepaid-key" };
+    prepaid.m_prepaid = kPrepaid;
+    config.m_accounts = { account, prepaid };
     config.m_limits.m_maxBodyBytes = 1000;
     return config;
   }
