--- a/include/bergamotpaddle/Forwarding/Endpoint.h
+++ b/include/bergamotpaddle/Forwarding/Endpoint.h
@@ -1,5 +1,5 @@
 /// \file
-/// Addresses as text.
+/// Addresses as text, and listening on them.
 #pragma once
 
 #include <absl/status/statusor.h>
@@ -12,4 +12,10 @@
 absl::StatusOr<boost::asio::ip::tcp::endpoint>
 ParseEndpoint(const std::string& aText);
 
+/// Opens \p aAcceptor on "IP:PORT"; port 0 takes a free one. Fails if the
+/// address cannot be had.
+absl::Status
+ListenOn(boost::asio::ip::tcp::acceptor& aAcceptor,
+         const std::string& aAddress);
+
 } // namespace bergamotpaddle
--- a/include/bergamotpaddle/Forwarding/GatewayServer.h
+++ b/include/bergamotpaddle/Forwarding/GatewayServer.h
@@ -39,6 +39,8 @@
 
   /// Listens; fails if an address cannot be had.
   absl::Status Start();
+  /// Where callers are taken, once started: IP:PORT.
+  std::string CallerAddress() const;
 
   /// Begins the planned stop: not ready at once, requests run to their end.
   /// \p aOnStopped is called when nothing is under way any more.
@@ -65,7 +67,6 @@
   Awaitable<void> ServePage(Tcp::socket aSocket, PageHook aPage);
   Awaitable<void> Ticks();
   void CheckStop(Instant aNow);
-  absl::Status Listen(Tcp::acceptor& aAcceptor, const std::string& aAddress);
   std::string MetricsPage() const;
 
   boost::asio::io_context* m_io;
--- a/lib/Forwarding/Endpoint.cpp
+++ b/lib/Forwarding/Endpoint.cpp
@@ -4,6 +4,13 @@
 
 namespace bergamotpaddle {
 
+namespace {
+
+/// Connections that the system takes before we do; callers arrive in crowds.
+constexpr int kBacklog = 1024;
+
+} // namespace
+
 absl::StatusOr<boost::asio::ip::tcp::endpoint>
 ParseEndpoint(const std::string& aText)
 {
@@ -24,4 +31,23 @@
   return boost::asio::ip::tcp::endpoint(ip, *port);
 }
 
+absl::Status
+ListenOn(boost::asio::ip::tcp::acceptor& aAcceptor, const std::string& aAddress)
+{
+  const auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint.ok()) {
+    return endpoint.status();
+  }
+  try {
+    aAcceptor.open(endpoint->protocol());
+    aAcceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
+    aAcceptor.bind(*endpoint);
+    aAcceptor.listen(kBacklog);
+  } catch (const boost::system::system_error& error) {
+    return absl::UnavailableError(
+      Cat("cannot listen on ", aAddress, ": ", error.what()));
+  }
+  return absl::OkStatus();
+}
+
 } // namespace bergamotpaddle
--- a/lib/Forwarding/GatewayServer.cpp
+++ b/lib/Forwarding/GatewayServer.cpp
@@ -20,7 +20,6 @@
 
 using ErrorCode = boost::system::error_code;
 
-constexpr int kBacklog = 1024;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -48,29 +47,17 @@
 {
 }
 
-absl::Status
-GatewayServer::Listen(Tcp::acceptor& aAcceptor, const std::string& aAddress)
+std::string
+GatewayServer::CallerAddress() const
 {
-  const absl::StatusOr<Tcp::endpoint> endpoint = ParseEndpoint(aAddress);
-  if (!endpoint.ok()) {
-    return endpoint.status();
-  }
-  try {
-    aAcceptor.open(endpoint->protocol());
-    aAcceptor.set_option(Tcp::acceptor::reuse_address(true));
-    aAcceptor.bind(*endpoint);
-    aAcceptor.listen(kBacklog);
-  } catch (const boost::system::system_error& error) {
-    return absl::UnavailableError(
-      Cat("cannot listen on ", aAddress, ": ", error.what()));
-  }
-  return absl::OkStatus();
+  const Tcp::endpoint local = m_callers.local_endpoint();
+  return Cat(local.address().to_string(), ":", local.port());
 }
 
 absl::Status
 GatewayServer::Start()
 {
-  if (absl::Status status = Listen(m_callers, m_options.m_callerAddress);
+  if (absl::Status status = ListenOn(m_callers, m_options.m_callerAddress);
       !status.ok()) {
     return status;
   }
@@ -93,7 +80,7 @@
       continue;
     }
     auto acceptor = std::make_shared<Tcp::acceptor>(*m_io);
-    if (absl::Status status = Listen(*acceptor, address); !status.ok()) {
+    if (absl::Status status = ListenOn(*acceptor, address); !status.ok()) {
       return status;
     }
     asio::co_spawn(*m_io, AcceptPages(acceptor, page), asio::detached);
--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <fstream>
+#include <unistd.h>
 
 using namespace bergamotpaddle;
 using namespace bergamotpaddle::platform;
@@ -88,7 +89,8 @@
 
 TEST_CASE("the settings file", "[documents]")
 {
-  const std::string path = "/tmp/bergamotpaddle-settings-test.json";
+  const std::string path =
+    "/tmp/bergamotpaddle-settings-test." + std::to_string(getpid()) + ".json";
   const auto load = [&path](const std::string& aText) {
     std::ofstream(path) << aText;
     LoadedSettings loaded = LoadSettings(path);
--- a/unittests/Platform/Loopback.h
+++ b/unittests/Platform/Loopback.h
@@ -122,6 +122,9 @@
     AddUpstream("u1", m_first);
     AddUpstream("u2", m_second);
     m_startStatus = m_server.Start();
+    if (m_startStatus.ok()) {
+      m_callers = m_server.CallerAddress();
+    }
   }
 
   /// What the account "school" has paid for.
@@ -195,13 +198,6 @@
   bool m_wasClosed = false; ///< The gateway ended the last call's connection.
 
 private:
-  static int FreePort()
-  {
-    asio::io_context io;
-    Tcp::acceptor probe(io, { asio::ip::make_address("127.0.0.1"), 0 });
-    return probe.local_endpoint().port();
-  }
-
   static std::string Hex(std::size_t aNumber)
   {
     std::ostringstream text;
@@ -258,11 +254,10 @@
     m_state.m_upstreams.Upsert(entry);
   }
 
-  GatewayServerOptions Options()
+  static GatewayServerOptions Options()
   {
     GatewayServerOptions options;
-    m_callers = "127.0.0.1:" + std::to_string(FreePort());
-    options.m_callerAddress = m_callers;
+    options.m_callerAddress = "127.0.0.1:0";
     options.m_acceptAfterStop = std::chrono::milliseconds(100);
     return options;
   }
