--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -74,6 +74,12 @@
   /// for streams, which alone need credit.
   Duration m_creditWait = std::chrono::milliseconds(160);
   Duration m_creditPoll = std::chrono::milliseconds(10);
+  /// When callers are told to come back for what passes by itself within
+  /// moments.
+  Duration m_retrySoon = std::chrono::milliseconds(400);
+  /// When they are told to come back for credit, which is drawn about once a
+  /// second.
+  Duration m_retryAfterDraw = std::chrono::milliseconds(1000);
   /// Resolution of all time-outs.
   Duration m_tick = std::chrono::milliseconds(20);
 };
