--- a/include/bergamotpaddle/Forwarding/GatewayServer.h
+++ b/include/bergamotpaddle/Forwarding/GatewayServer.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "bergamotpaddle/Forwarding/RequestRun.h"
+#include "bergamotpaddle/Metrics/MetricsText.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -23,8 +24,17 @@
   Duration m_acceptAfterStop = std::chrono::milliseconds(2500);
   /// From the order to stop until the process has to be gone.
   Duration m_grace = std::chrono::seconds(8);
+  /// Adds what other parts of the process count to the page of metrics.
+  std::function<void(MetricsText&)> m_moreMetrics = [](MetricsText&) {};
 };
 
+/// Appends \p aHistogram in the usual form of classes, count and sum.
+void
+AppendHistogram(MetricsText& aText,
+                const std::string& aName,
+                const LatencyHistogram& aHistogram,
+                const MetricLabels& aLabels = {});
+
 /// Serves until it is told to stop.
 class GatewayServer
 {
--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -7,6 +7,7 @@
 #include "bergamotpaddle/Gateway/Placement.h"
 #include "bergamotpaddle/Gateway/RetryBudget.h"
 #include "bergamotpaddle/Logging/EventLog.h"
+#include "bergamotpaddle/Metrics/Traffic.h"
 #include "bergamotpaddle/Support/ResultCode.h"
 
 #include <array>
@@ -44,6 +45,9 @@
   std::uint64_t m_events = 0;
   LatencyHistogram m_firstByte; ///< From a request's head to its answer's.
   LatencyHistogram m_whole;     ///< To the end of the answer.
+  LatencyHistogram m_connect;   ///< Connections to upstreams that were made.
+  std::uint64_t m_connectTimeouts = 0;
+  TrafficCounters m_traffic;
 };
 
 /// Bounds of the forwarding path.
--- a/include/bergamotpaddle/Forwarding/UpstreamExchange.h
+++ b/include/bergamotpaddle/Forwarding/UpstreamExchange.h
@@ -63,6 +63,7 @@
   void Close();
   /// What went wrong last; empty if nothing did.
   const std::string& Error() const { return m_error; }
+  const TrafficCount& Bytes() const { return m_bytes; }
 
 private:
   using Parser =
@@ -74,6 +75,7 @@
   AbortReason m_aborted = AbortReason::kNone;
   bool m_isWhole = false;
   std::string m_error;
+  TrafficCount m_bytes;
 };
 
 } // namespace bergamotpaddle
--- a/lib/Forwarding/CallerConnection.cpp
+++ b/lib/Forwarding/CallerConnection.cpp
@@ -128,7 +128,8 @@
   ErrorCode error;
   const Instant begun = m_state->Now();
   m_waitUntil = begun + limits.m_headerTimeout;
-  co_await http::async_read_header(m_socket, m_buffer, parser, Into(error));
+  std::size_t received =
+    co_await http::async_read_header(m_socket, m_buffer, parser, Into(error));
   if (!error &&
       m_state->m_bufferedBodies > m_state->m_options.m_maxBufferedBodies) {
     const OwnAnswer refusal{ kUnavailable,
@@ -147,8 +148,10 @@
       std::string interim(kContinue);
       co_await Write(std::move(interim));
     }
-    co_await http::async_read(m_socket, m_buffer, parser, Into(error));
+    received +=
+      co_await http::async_read(m_socket, m_buffer, parser, Into(error));
   }
+  m_state->m_counters.m_traffic.Note(TrafficPeer::kCallers, 0, received);
   m_waitUntil.reset();
   if (error == http::error::end_of_stream) {
     co_return ReadEnd::kClosed;
@@ -185,7 +188,9 @@
 CallerConnection::Write(std::string aBytes)
 {
   ErrorCode error;
-  co_await asio::async_write(m_socket, asio::buffer(aBytes), Into(error));
+  const std::size_t sent =
+    co_await asio::async_write(m_socket, asio::buffer(aBytes), Into(error));
+  m_state->m_counters.m_traffic.Note(TrafficPeer::kCallers, sent, 0);
   if (error) {
     Close();
   }
--- /dev/null
+++ b/lib/Forwarding/GatewayMetrics.cpp
@@ -0,0 +1,114 @@
+// The page of counters and latency histograms.
+#include "bergamotpaddle/Forwarding/GatewayServer.h"
+
+#include "bergamotpaddle/Support/Text.h"
+
+namespace bergamotpaddle {
+
+void
+AppendHistogram(MetricsText& aText,
+                const std::string& aName,
+                const LatencyHistogram& aHistogram,
+                const MetricLabels& aLabels)
+{
+  aText.Family(Cat(aName, "_bucket"), "counter", "Latency classes.");
+  const auto with = [&aLabels](const std::string& aBound) {
+    MetricLabels labels = aLabels;
+    labels.emplace_back("le", aBound);
+    return labels;
+  };
+  const auto sums = aHistogram.Cumulative();
+  for (std::size_t i = 0; i < sums.size(); ++i) {
+    const double bound = LatencyHistogram::kBoundsMs[i] / 1000.0;
+    aText.Sample(static_cast<double>(sums[i]), with(Cat(bound)));
+  }
+  aText.Sample(static_cast<double>(aHistogram.Count()), with("+Inf"));
+  aText.Family(Cat(aName, "_count"), "counter", "Values noted.");
+  aText.Sample(static_cast<double>(aHistogram.Count()), aLabels);
+  aText.Family(Cat(aName, "_sum"), "counter", "Sum of the values noted.");
+  aText.Sample(aHistogram.SumSeconds(), aLabels);
+}
+
+std::string
+GatewayServer::MetricsPage() const
+{
+  const GatewayCounters& counters = m_state->m_counters;
+  MetricsText text;
+  text.Family("bergamotpaddle_requests_total",
+              "counter",
+              "Requests of callers by how they ended.");
+  for (const auto& [code, count] : counters.m_ends) {
+    text.Sample(static_cast<double>(count),
+                { { "code", std::string(Describe(code).m_name) } });
+  }
+  const auto single = [&text](const char* aName,
+                              const char* aType,
+                              const char* aHelp,
+                              std::uint64_t aValue) {
+    text.Single(aName, aType, aHelp, static_cast<double>(aValue));
+  };
+  single("bergamotpaddle_retries_total",
+         "counter",
+         "Requests sent to a further upstream after one that had them.",
+         counters.m_retries);
+  single("bergamotpaddle_streams_resumed_total",
+         "counter",
+         "Streams that went on at another upstream.",
+         counters.m_resumed);
+  single("bergamotpaddle_answers_spoiled_total",
+         "counter",
+         "Upstreams' answers that were not passed on.",
+         counters.m_spoiledAnswers);
+  single("bergamotpaddle_events_total",
+         "counter",
+         "Events of streams passed on.",
+         counters.m_events);
+  single("bergamotpaddle_log_lines_dropped_total",
+         "counter",
+         "Log lines beyond the bounds.",
+         m_state->m_log->Dropped());
+  single("bergamotpaddle_connections",
+         "gauge",
+         "Open connections of callers.",
+         m_sessions.size());
+  single("bergamotpaddle_requests_under_way",
+         "gauge",
+         "Requests being served.",
+         m_state->m_requestsUnderWay);
+  single("bergamotpaddle_config_version",
+         "gauge",
+         "Version of the configuration in force.",
+         m_state->m_routes ? m_state->m_routes->Version() : 0);
+  single("bergamotpaddle_upstreams",
+         "gauge",
+         "Upstreams known.",
+         m_state->m_upstreams.Size());
+  single("bergamotpaddle_connect_timeouts_total",
+         "counter",
+         "Connections to upstreams that were not made in time.",
+         counters.m_connectTimeouts);
+  text.Family(
+    "bergamotpaddle_bytes_total", "counter", "Payload bytes by far end.");
+  for (std::size_t i = 0; i < kTrafficPeers; ++i) {
+    const TrafficCount& count =
+      counters.m_traffic.Of(static_cast<TrafficPeer>(i));
+    const std::string peer = kTrafficPeerNames[i];
+    text.Sample(static_cast<double>(count.m_sent),
+                { { "peer", peer }, { "direction", "sent" } });
+    text.Sample(static_cast<double>(count.m_received),
+                { { "peer", peer }, { "direction", "received" } });
+  }
+  const std::array<std::pair<const char*, const LatencyHistogram*>, 3>
+    histograms = {
+      std::pair("bergamotpaddle_first_event_seconds", &counters.m_firstByte),
+      std::pair("bergamotpaddle_request_seconds", &counters.m_whole),
+      std::pair("bergamotpaddle_connect_seconds", &counters.m_connect)
+    };
+  for (const auto& [name, histogram] : histograms) {
+    AppendHistogram(text, name, *histogram);
+  }
+  m_options.m_moreMetrics(text);
+  return text.Text();
+}
+
+} // namespace bergamotpaddle
--- a/lib/Forwarding/GatewayServer.cpp
+++ b/lib/Forwarding/GatewayServer.cpp
@@ -1,7 +1,6 @@
 #include "bergamotpaddle/Forwarding/GatewayServer.h"
 
 #include "bergamotpaddle/Forwarding/Endpoint.h"
-#include "bergamotpaddle/Metrics/MetricsText.h"
 #include "bergamotpaddle/Support/Text.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -248,83 +247,4 @@
   }
 }
 
-std::string
-GatewayServer::MetricsPage() const
-{
-  const GatewayCounters& counters = m_state->m_counters;
-  MetricsText text;
-  text.Family("bergamotpaddle_requests_total",
-              "counter",
-              "Requests of callers by how they ended.");
-  for (const auto& [code, count] : counters.m_ends) {
-    text.Sample(static_cast<double>(count),
-                { { "code", std::string(Describe(code).m_name) } });
-  }
-  const auto single = [&text](const char* aName,
-                              const char* aType,
-                              const char* aHelp,
-                              std::uint64_t aValue) {
-    text.Single(aName, aType, aHelp, static_cast<double>(aValue));
-  };
-  single("bergamotpaddle_retries_total",
-         "counter",
-         "Requests sent to a further upstream after one that had them.",
-         counters.m_retries);
-  single("bergamotpaddle_streams_resumed_total",
-         "counter",
-         "Streams that went on at another upstream.",
-         counters.m_resumed);
-  single("bergamotpaddle_answers_spoiled_total",
-         "counter",
-         "Upstreams' answers that were not passed on.",
-         counters.m_spoiledAnswers);
-  single("bergamotpaddle_events_total",
-         "counter",
-         "Events of streams passed on.",
-         counters.m_events);
-  single("bergamotpaddle_log_lines_dropped_total",
-         "counter",
-         "Log lines beyond the bounds.",
-         m_state->m_log->Dropped());
-  single("bergamotpaddle_connections",
-         "gauge",
-         "Open connections of callers.",
-         m_sessions.size());
-  single("bergamotpaddle_requests_under_way",
-         "gauge",
-         "Requests being served.",
-         m_state->m_requestsUnderWay);
-  single("bergamotpaddle_config_version",
-         "gauge",
-         "Version of the configuration in force.",
-         m_state->m_routes ? m_state->m_routes->Version() : 0);
-  single("bergamotpaddle_upstreams",
-         "gauge",
-         "Upstreams known.",
-         m_state->m_upstreams.Size());
-  const std::array<std::pair<const char*, const LatencyHistogram*>, 2>
-    histograms = {
-      std::pair("bergamotpaddle_first_event_seconds", &counters.m_firstByte),
-      std::pair("bergamotpaddle_request_seconds", &counters.m_whole)
-    };
-  for (const auto& [name, histogram] : histograms) {
-    text.Family(Cat(name, "_bucket"), "counter", "Latency classes.");
-    const auto sums = histogram->Cumulative();
-    for (std::size_t i = 0; i < sums.size(); ++i) {
-      const double bound = LatencyHistogram::kBoundsMs[i] / 1000.0;
-      text.Sample(static_cast<double>(sums[i]), { { "le", Cat(bound) } });
-    }
-    text.Sample(static_cast<double>(histogram->Count()), { { "le", "+Inf" } });
-    text.Single(Cat(name, "_count"),
-                "counter",
-                "Values noted.",
-                static_cast<double>(histogram->Count()));
-    text.Single(Cat(name, "_sum"),
-                "counter",
-                "Sum of the values noted.",
-                histogram->SumSeconds());
-  }
-  return text.Text();
-}
-
 } // namespace bergamotpaddle
--- a/lib/Forwarding/PeerLink.cpp
+++ b/lib/Forwarding/PeerLink.cpp
@@ -170,7 +170,9 @@
     }
     for (const auto& [peer, heardAt] : m_peers) {
       // A datagram that cannot leave now is made good by the next.
-      m_socket.send_to(asio::buffer(digest), peer, 0, error);
+      const std::size_t sent =
+        m_socket.send_to(asio::buffer(digest), peer, 0, error);
+      m_state->m_counters.m_traffic.Note(TrafficPeer::kRouters, sent, 0);
     }
   }
 }
@@ -190,6 +192,7 @@
     if (error) {
       continue;
     }
+    m_state->m_counters.m_traffic.Note(TrafficPeer::kRouters, 0, count);
     const auto peer = m_peers.find(from);
     const auto digest =
       PeerDigest::Decode(std::string_view(bytes).substr(0, count));
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -130,6 +130,7 @@
   ArmSilence(m_state->m_options.m_connectTimeout);
   ExchangeEnd end = ExchangeEnd::kNeverSent;
   if (co_await m_exchange->Connect(m_upstreamAddress)) {
+    m_state->m_counters.m_connect.Note(m_state->Now() - begun);
     m_silentAt.reset();
     if (const std::optional<Duration> silence = FirstByteSilence()) {
       ArmSilence(*silence);
@@ -138,9 +139,14 @@
     end = co_await ReadAnswer(m_method == "HEAD");
   } else if (m_isCallerGone) {
     end = ExchangeEnd::kCallerGone;
+  } else if (m_exchange->Aborted() == AbortReason::kSilence) {
+    ++m_state->m_counters.m_connectTimeouts;
   }
   m_silentAt.reset();
   m_exchange->Close();
+  m_state->m_counters.m_traffic.Note(TrafficPeer::kUpstreams,
+                                     m_exchange->Bytes().m_sent,
+                                     m_exchange->Bytes().m_received);
   m_state->m_upstreams.NoteEnded(m_choice.m_upstream, isLightStream);
   m_state->m_onLoadChanged(m_choice.m_upstream, {});
   co_return end;
--- a/lib/Forwarding/UpstreamExchange.cpp
+++ b/lib/Forwarding/UpstreamExchange.cpp
@@ -71,7 +71,8 @@
     const std::array<asio::const_buffer, 2> buffers = { asio::buffer(aHead),
                                                         asio::buffer(*aBody) };
     // A failure shows where the answer is read.
-    co_await asio::async_write(aSelf->m_socket, buffers, Into(error));
+    aSelf->m_bytes.m_sent +=
+      co_await asio::async_write(aSelf->m_socket, buffers, Into(error));
   };
   asio::co_spawn(m_socket.get_executor(),
                  send(shared_from_this(), std::move(aHead), std::move(aBody)),
@@ -86,7 +87,7 @@
     m_parser.emplace();
     m_parser->body_limit(kNoLimit);
     m_parser->skip(aIsHeadRequest);
-    co_await http::async_read_header(
+    m_bytes.m_received += co_await http::async_read_header(
       m_socket, m_buffer, *m_parser, Into(error));
   } while (!error && m_parser->get().result_int() < kFirstFinalStatus);
   if (error) {
@@ -109,7 +110,8 @@
   std::string bytes;
   ErrorCode error;
   while (bytes.empty() && !m_parser->is_done() && !error) {
-    co_await http::async_read_some(m_socket, m_buffer, *m_parser, Into(error));
+    m_bytes.m_received += co_await http::async_read_some(
+      m_socket, m_buffer, *m_parser, Into(error));
     bytes.swap(m_parser->get().body());
   }
   m_error = error ? error.message() : std::string();
--- a/unittests/Platform/ForwardingTest.cpp
+++ b/unittests/Platform/ForwardingTest.cpp
@@ -131,6 +131,16 @@
     CHECK(Contains(request, "Bergamotpaddle-Tenant: cafe\r\n"));
     CHECK(Contains(request, "\r\n\r\nbody"));
     CHECK_FALSE(Contains(request, "Bearer"));
+
+    SECTION("and its bytes are counted by far end")
+    {
+      const TrafficCounters& traffic = fleet.m_state.m_counters.m_traffic;
+      CHECK(traffic.Of(TrafficPeer::kCallers).m_sent == answer.size());
+      CHECK(traffic.Of(TrafficPeer::kUpstreams).m_sent == request.size());
+      CHECK(traffic.Of(TrafficPeer::kCallers).m_received > 0);
+      CHECK(traffic.Of(TrafficPeer::kUpstreams).m_received > 0);
+      CHECK(fleet.m_state.m_counters.m_connect.Count() == 1);
+    }
   }
 
   SECTION("that cannot be told apart from two is refused")
