Datagrams between routers keep to a rate in bytes, whatever the fleet and its load

Callers saw: requests refused and failed for seconds at routers with 10 Mbit/s; there changes of the configuration were late (CONFIG) and upstreams that had left were still used (DRAIN).

Cause: each datagram told the whole load on every upstream with requests under way, to every peer, 10 ms after each change, and nothing bounded the bytes. A hot router filled its own link with them.

Change: DigestSchedule, free of I/O, bounds all datagrams of a router to 62.5 KB/s, 5% of the smallest link on the users' sheets; what does not fit waits, the longest untold first; a load that lasts is repeated every 600 ms, shared prompt parts every 10 s, a request's own part never. Lines are shorter (short hashes, milliseconds); the layout has a version. Since every router sends at most that, none receives more than that either.

Why it works: bytes no longer grow with requests times routers, whatever else goes on.

--- a/include/bergamotpaddle/Forwarding/PeerLink.h
+++ b/include/bergamotpaddle/Forwarding/PeerLink.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "bergamotpaddle/Forwarding/GatewayState.h"
+#include "bergamotpaddle/Gateway/DigestSchedule.h"
 #include "bergamotpaddle/Gateway/PeerDigest.h"
 
 #include <absl/status/status.h>
@@ -13,16 +14,14 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <set>
+#include <vector>
 
 namespace bergamotpaddle {
 
-/// Pace of the datagrams.
+/// Pace of the datagrams and what is made of them.
 struct PeerLinkOptions
 {
-  /// Changes within this time leave in one datagram.
-  Duration m_coalesce = std::chrono::milliseconds(10);
-  /// A datagram leaves at least this often, as a sign of life.
-  Duration m_heartbeat = std::chrono::milliseconds(500);
+  DigestScheduleOptions m_schedule;
   /// A peer that was not heard for so long counts as out of reach.
   Duration m_silence = std::chrono::milliseconds(1600);
 };
@@ -55,18 +54,19 @@
 private:
   Awaitable<void> Receive();
   Awaitable<void> Send();
-  std::string NextDigest();
+  std::string NextDigest(Instant aNow);
+  UpstreamDigest LineOf(const UpstreamState& aState,
+                        const std::vector<std::uint64_t>& aNewParts,
+                        Instant aNow) const;
 
   boost::asio::io_context* m_io;
   GatewayState* m_state;
   std::string m_life;
   PeerLinkOptions m_options;
   Udp::socket m_socket;
-  boost::asio::steady_timer m_next; ///< When the next datagram leaves.
-  Instant m_nextAt{};
+  boost::asio::steady_timer m_next;         ///< When the next datagram leaves.
   std::map<Udp::endpoint, Instant> m_peers; ///< When each was heard last.
-  std::map<UpstreamId, std::set<std::uint64_t>> m_changed;
-  std::set<UpstreamId> m_toldLast; ///< Told again once: the end of a load.
+  DigestSchedule m_schedule;
 };
 
 } // namespace bergamotpaddle
--- a/include/bergamotpaddle/Gateway/PeerDigest.h
+++ b/include/bergamotpaddle/Gateway/PeerDigest.h
@@ -1,8 +1,8 @@
 /// \file
 /// What routers tell one another about the load that they put on upstreams.
 ///
-/// One datagram holds the sender's whole load on the upstreams that changed,
-/// never differences, so a lost one is made good by the next.
+/// A datagram holds the sender's whole load on some upstreams, never
+/// differences, so a lost one is made good by the next.
 #pragma once
 
 #include "bergamotpaddle/Gateway/UpstreamView.h"
@@ -17,29 +17,33 @@
 /// The sender's load on one upstream.
 struct UpstreamDigest
 {
-  std::string m_upstream;
+  std::uint32_t m_upstream = 0; ///< `UpstreamView::ShortHash` of its id.
   int m_requests = 0;
   int m_streams = 0;
-  std::int64_t m_prefillLeftUs = 0;
-  double m_slowness = 0;                 ///< As reported; 0: no fresh report.
-  std::int64_t m_slownessAgeUs = 0;      ///< Of that report.
+  int m_prefillLeftMs = 0;
+  int m_slownessPercent = 0;             ///< As reported; 0: no fresh report.
+  int m_slownessAgeMs = 0;               ///< Of that report.
   std::vector<std::uint64_t> m_newParts; ///< Prompt parts sent since the last.
   MSGPACK_DEFINE(m_upstream,
                  m_requests,
                  m_streams,
-                 m_prefillLeftUs,
-                 m_slowness,
-                 m_slownessAgeUs,
+                 m_prefillLeftMs,
+                 m_slownessPercent,
+                 m_slownessAgeMs,
                  m_newParts)
+  std::size_t EncodedSize() const;
   auto operator<=>(const UpstreamDigest&) const = default;
 };
 
 /// One datagram.
 struct PeerDigest
 {
+  /// Of this layout; others are not read.
+  static constexpr int kVersion = 2;
+  int m_version = kVersion;
   std::string m_from; ///< The sender's life.
   std::vector<UpstreamDigest> m_upstreams;
-  MSGPACK_DEFINE(m_from, m_upstreams)
+  MSGPACK_DEFINE(m_version, m_from, m_upstreams)
   auto operator<=>(const PeerDigest&) const = default;
 
   std::string Encode() const;
--- a/include/bergamotpaddle/Gateway/UpstreamView.h
+++ b/include/bergamotpaddle/Gateway/UpstreamView.h
@@ -106,8 +106,10 @@
   /// afresh.
   void Upsert(const UpstreamEntry& aEntry);
   void Remove(const UpstreamId& aId);
-  /// Removes all that are not in \p aKept.
-  void RetainOnly(const std::vector<UpstreamId>& aKept);
+
+  /// Names an upstream in few bytes.
+  static std::uint32_t ShortHash(const UpstreamId& aId);
+  std::optional<UpstreamId> FindByShortHash(std::uint32_t aHash) const;
 
   UpstreamState* Find(const UpstreamId& aId);
   const UpstreamState* Find(const UpstreamId& aId) const;
@@ -145,6 +147,8 @@
   int Streams(const UpstreamState& aState, Instant aNow) const;
   /// Prompt reading ahead of a request that comes now.
   Duration PrefillBacklog(const UpstreamState& aState, Instant aNow) const;
+  /// Whether what it reported is recent enough to be believed.
+  bool HasFreshReport(const UpstreamState& aState, Instant aNow) const;
   /// How much longer than usual work takes there, as last told; 1 if unknown.
   double Slowness(const UpstreamState& aState, Instant aNow) const;
   /// Tokens of \p aParts that have to be read there.
@@ -158,6 +162,7 @@
 private:
   UpstreamViewOptions m_options;
   std::map<UpstreamId, UpstreamState> m_upstreams;
+  absl::flat_hash_map<std::uint32_t, UpstreamId> m_byShortHash;
 };
 
 } // namespace bergamotpaddle
--- a/lib/Forwarding/PeerLink.cpp
+++ b/lib/Forwarding/PeerLink.cpp
@@ -18,6 +18,8 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr std::size_t kMaxDatagram = 60'000;
+/// Until there are peers to tell.
+constexpr Duration kIdlePause = std::chrono::milliseconds(100);
 
 auto
 Into(ErrorCode& aError)
@@ -43,6 +45,7 @@
   , m_options(aOptions)
   , m_socket(aIo)
   , m_next(aIo)
+  , m_schedule(aOptions.m_schedule)
 {
 }
 
@@ -81,19 +84,21 @@
     peers[peer] = known == m_peers.end() ? Instant{} : known->second;
   }
   m_peers = std::move(peers);
+  m_schedule.SetPeers(m_peers.size());
 }
 
 void
 PeerLink::NoteChanged(const UpstreamId& aUpstream,
                       const std::vector<PromptPart>& aParts)
 {
-  std::set<std::uint64_t>& parts = m_changed[aUpstream];
-  for (const PromptPart& part : aParts) {
-    parts.insert(part.m_id);
+  // The last part belongs to the request alone.
+  std::vector<std::uint64_t> shared;
+  for (std::size_t i = 0; i + 1 < aParts.size(); ++i) {
+    shared.push_back(aParts[i].m_id);
   }
-  const Instant soon = m_state->Now() + m_options.m_coalesce;
-  if (!m_peers.empty() && m_nextAt > soon) {
-    m_nextAt = soon;
+  const Instant before = m_schedule.DueAt();
+  m_schedule.NoteChanged(aUpstream, shared, m_state->Now());
+  if (m_schedule.DueAt() < before) {
     m_next.cancel();
   }
 }
@@ -111,37 +116,50 @@
   return reachable;
 }
 
+UpstreamDigest
+PeerLink::LineOf(const UpstreamState& aState,
+                 const std::vector<std::uint64_t>& aNewParts,
+                 Instant aNow) const
+{
+  const auto milliseconds = [](Duration aTime) {
+    return static_cast<int>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
+  };
+  constexpr double kPercent = 100;
+  const SentLoad own = m_state->m_upstreams.Own(aState, aNow);
+  UpstreamDigest line;
+  line.m_upstream = UpstreamView::ShortHash(aState.m_entry.m_id);
+  line.m_requests = own.m_requests;
+  line.m_streams = own.m_streams;
+  line.m_prefillLeftMs = milliseconds(own.m_prefillLeft);
+  if (m_state->m_upstreams.HasFreshReport(aState, aNow)) {
+    line.m_slownessPercent =
+      static_cast<int>(aState.m_reported->m_slowness * kPercent);
+    line.m_slownessAgeMs = milliseconds(aNow - aState.m_reported->m_at);
+  }
+  line.m_newParts = aNewParts;
+  return line;
+}
+
 std::string
-PeerLink::NextDigest()
+PeerLink::NextDigest(Instant aNow)
 {
-  const Instant now = m_state->Now();
   PeerDigest digest;
   digest.m_from = m_life;
-  std::map<UpstreamId, std::set<std::uint64_t>> told = std::move(m_changed);
-  m_changed.clear();
-  for (const UpstreamId& id : m_toldLast) {
-    told.try_emplace(id);
-  }
-  m_toldLast.clear();
-  for (const auto& [id, parts] : told) {
+  std::size_t size = digest.Encode().size();
+  for (const auto& [id, newParts] : m_schedule.Candidates(aNow)) {
     const UpstreamState* state = m_state->m_upstreams.Find(id);
     if (state == nullptr) {
+      m_schedule.NoteTold(id, false, aNow);
       continue;
     }
-    const SentLoad own = m_state->m_upstreams.Own(*state, now);
-    UpstreamDigest& line = digest.m_upstreams.emplace_back();
-    line.m_upstream = id.Str();
-    line.m_requests = own.m_requests;
-    line.m_streams = own.m_streams;
-    line.m_prefillLeftUs = own.m_prefillLeft.count();
-    if (state->m_reported) {
-      line.m_slowness = state->m_reported->m_slowness;
-      line.m_slownessAgeUs = (now - state->m_reported->m_at).count();
-    }
-    line.m_newParts.assign(parts.begin(), parts.end());
-    if (own.m_requests > 0 || !parts.empty()) {
-      m_toldLast.insert(id);
+    UpstreamDigest line = LineOf(*state, newParts, aNow);
+    size += line.EncodedSize();
+    if (size > m_schedule.MostBytes() && !digest.m_upstreams.empty()) {
+      break; // The others are the first of the next datagram.
     }
+    m_schedule.NoteTold(id, line.m_requests > 0, aNow);
+    digest.m_upstreams.push_back(std::move(line));
   }
   return digest.Encode();
 }
@@ -151,23 +169,18 @@
 {
   while (true) {
     ErrorCode error;
-    const Duration wait = m_nextAt - m_state->Now();
-    m_next.expires_after(std::max(wait, Duration(0)));
+    const Instant now = m_state->Now();
+    const Instant due = m_peers.empty() ? now + kIdlePause : m_schedule.DueAt();
+    m_next.expires_after(std::max(due - now, Duration(0)));
     co_await m_next.async_wait(Into(error));
     if (error == asio::error::operation_aborted) {
-      continue; // A change moved the next datagram ahead.
+      continue; // A change moved the next datagrams ahead.
     }
-    m_nextAt = m_state->Now() + m_options.m_heartbeat;
     if (m_peers.empty()) {
       continue;
     }
-    const std::string digest = NextDigest();
-    if (digest.size() > kMaxDatagram) {
-      m_state->Log(
-        LogLine("peer.digest_too_long")
-          .Number("bytes", static_cast<std::int64_t>(digest.size())));
-      continue;
-    }
+    const std::string digest = NextDigest(m_state->Now());
+    m_schedule.NoteSent(digest.size(), m_state->Now());
     for (const auto& [peer, heardAt] : m_peers) {
       // A datagram that cannot leave now is made good by the next.
       const std::size_t sent =
--- a/lib/Gateway/PeerDigest.cpp
+++ b/lib/Gateway/PeerDigest.cpp
@@ -3,11 +3,31 @@
 
 namespace bergamotpaddle {
 
+namespace {
+
+constexpr double kPercent = 100;
+
+template<typename T>
+msgpack::sbuffer
+Pack(const T& aValue)
+{
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, aValue);
+  return buffer;
+}
+
+} // namespace
+
+std::size_t
+UpstreamDigest::EncodedSize() const
+{
+  return Pack(*this).size();
+}
+
 std::string
 PeerDigest::Encode() const
 {
-  msgpack::sbuffer buffer;
-  msgpack::pack(buffer, *this);
+  const msgpack::sbuffer buffer = Pack(*this);
   return { buffer.data(), buffer.size() };
 }
 
@@ -17,6 +37,10 @@
   try {
     PeerDigest digest;
     msgpack::unpack(aBytes.data(), aBytes.size()).get().convert(digest);
+    if (digest.m_version != kVersion) {
+      return absl::UnimplementedError(
+        Cat("peer digest: layout ", digest.m_version));
+    }
     return digest;
   } catch (const std::exception& error) {
     return absl::InvalidArgumentError(Cat("peer digest: ", error.what()));
@@ -27,18 +51,24 @@
 ApplyDigest(const PeerDigest& aDigest, UpstreamView& aView, Instant aNow)
 {
   for (const UpstreamDigest& upstream : aDigest.m_upstreams) {
-    const UpstreamId id(upstream.m_upstream);
+    const std::optional<UpstreamId> id =
+      aView.FindByShortHash(upstream.m_upstream);
+    if (!id) {
+      continue; // Not in our list yet, or any more.
+    }
     aView.NotePeerLoad(aDigest.m_from,
-                       id,
+                       *id,
                        { upstream.m_requests,
                          upstream.m_streams,
-                         Duration(upstream.m_prefillLeftUs) },
+                         std::chrono::milliseconds(upstream.m_prefillLeftMs) },
                        aNow);
-    if (upstream.m_slowness > 0) {
-      aView.NoteSlowness(
-        id, upstream.m_slowness, aNow - Duration(upstream.m_slownessAgeUs));
+    if (upstream.m_slownessPercent > 0) {
+      aView.NoteSlowness(*id,
+                         upstream.m_slownessPercent / kPercent,
+                         aNow -
+                           std::chrono::milliseconds(upstream.m_slownessAgeMs));
     }
-    aView.NotePeerParts(id, upstream.m_newParts, aNow);
+    aView.NotePeerParts(*id, upstream.m_newParts, aNow);
   }
 }
 
--- a/lib/Gateway/UpstreamView.cpp
+++ b/lib/Gateway/UpstreamView.cpp
@@ -34,6 +34,9 @@
     state.m_failuresInRow = 0;
     state.m_avoidUntil = {};
   }
+  if (isNew) {
+    m_byShortHash.insert_or_assign(ShortHash(aEntry.m_id), aEntry.m_id);
+  }
   state.m_entry = aEntry;
   state.m_hash = PlacementHash(aEntry.m_id.Str());
 }
@@ -42,14 +45,21 @@
 UpstreamView::Remove(const UpstreamId& aId)
 {
   m_upstreams.erase(aId);
+  m_byShortHash.erase(ShortHash(aId));
 }
 
-void
-UpstreamView::RetainOnly(const std::vector<UpstreamId>& aKept)
+std::uint32_t
+UpstreamView::ShortHash(const UpstreamId& aId)
 {
-  std::erase_if(m_upstreams, [&aKept](const auto& aEntry) {
-    return std::find(aKept.begin(), aKept.end(), aEntry.first) == aKept.end();
-  });
+  return static_cast<std::uint32_t>(PlacementHash(aId.Str()));
+}
+
+std::optional<UpstreamId>
+UpstreamView::FindByShortHash(std::uint32_t aHash) const
+{
+  const auto found = m_byShortHash.find(aHash);
+  return found == m_byShortHash.end() ? std::nullopt
+                                      : std::optional(found->second);
 }
 
 UpstreamState*
@@ -231,11 +241,17 @@
   return sum;
 }
 
+bool
+UpstreamView::HasFreshReport(const UpstreamState& aState, Instant aNow) const
+{
+  return aState.m_reported &&
+         aNow - aState.m_reported->m_at <= m_options.m_reportValid;
+}
+
 double
 UpstreamView::Slowness(const UpstreamState& aState, Instant aNow) const
 {
-  if (!aState.m_reported ||
-      aNow - aState.m_reported->m_at > m_options.m_reportValid) {
+  if (!HasFreshReport(aState, aNow)) {
     return 1;
   }
   return std::max(aState.m_reported->m_slowness, 0.1);
--- a/unittests/Gateway/UpstreamViewTest.cpp
+++ b/unittests/Gateway/UpstreamViewTest.cpp
@@ -80,10 +80,10 @@
     PeerDigest digest;
     digest.m_from = "b/1";
     UpstreamDigest line;
-    line.m_upstream = kEngine.Str();
+    line.m_upstream = UpstreamView::ShortHash(kEngine);
     line.m_requests = 3;
     line.m_streams = 2;
-    line.m_prefillLeftUs = 40'000;
+    line.m_prefillLeftMs = 40;
     line.m_newParts = { 1, 2 };
     digest.m_upstreams.push_back(line);
     const auto again = PeerDigest::Decode(digest.Encode());
