Time-outs follow what the link does: waits for connections adapt, answers live while their bytes come

Callers saw: at a router whose link was full, every request failed (84 to 119 exchanges a second ended on the connect time-out, at every upstream), and the router heard nothing of changes for up to 19 s while the store was well.

Each attempt failed everywhere; calls that were nearly complete were thrown away and made again through a relay, over the same link. Slow became lost.

Evidence: 818 and 355 connect time-outs at the two stalled routers against 2 at the 29 that were not of that kind; both watches 'closed due to a timeout' at 19.16 s while 25 routers had an event of 19.18 s by 19.36 s.

Change: ConnectPatience, free of I/O and shared by exchanges and the store's client: three times what connections took of late, doubled while none succeeds anywhere, at the most 1.5 s. A far end that is down alone does not lengthen it. The store's client reads an answer as long as bytes come, at the most 6 s.

Why it works: a queue of half a second costs half a second, not the call.

--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "bergamotpaddle/Forwarding/WireDialect.h"
+#include "bergamotpaddle/Gateway/ConnectPatience.h"
 #include "bergamotpaddle/Gateway/CreditBook.h"
 #include "bergamotpaddle/Gateway/Placement.h"
 #include "bergamotpaddle/Gateway/RetryBudget.h"
@@ -109,6 +110,7 @@
   Placement m_placement;
   CreditBook m_credit;
   RetryBudget m_retries;
+  ConnectPatience m_connectPatience; ///< Over upstreams and the store alike.
   GatewayCounters m_counters;
   EventLog* m_log;
   bool m_isStopping = false;
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -127,10 +127,14 @@
                                 m_request.m_parts,
                                 begun);
   m_state->m_onLoadChanged(m_choice.m_upstream, m_request.m_parts);
-  ArmSilence(m_state->m_options.m_connectTimeout);
+  const Duration patience =
+    m_state->m_connectPatience.For(m_state->m_options.m_connectTimeout);
+  ArmSilence(patience);
   ExchangeEnd end = ExchangeEnd::kNeverSent;
   if (co_await m_exchange->Connect(m_upstreamAddress)) {
-    m_state->m_counters.m_connect.Note(m_state->Now() - begun);
+    const Duration took = m_state->Now() - begun;
+    m_state->m_counters.m_connect.Note(took);
+    m_state->m_connectPatience.NoteMade(took);
     m_silentAt.reset();
     if (const std::optional<Duration> silence = FirstByteSilence()) {
       ArmSilence(*silence);
@@ -141,6 +145,7 @@
     end = ExchangeEnd::kCallerGone;
   } else if (m_exchange->Aborted() == AbortReason::kSilence) {
     ++m_state->m_counters.m_connectTimeouts;
+    m_state->m_connectPatience.NoteTimedOut(patience);
   }
   m_silentAt.reset();
   m_exchange->Close();
--- a/unittests/Platform/StoreClientTest.cpp
+++ b/unittests/Platform/StoreClientTest.cpp
@@ -27,6 +27,8 @@
     int m_status = 200;
     std::string m_body;
     bool m_isSilent = false; ///< No answer at all.
+    /// Pause before each sixth of the answer, as on a full link.
+    std::chrono::milliseconds m_pause{ 0 };
   };
   using Hook =
     std::function<Reply(const std::string& aTarget, const std::string& aBody)>;
@@ -65,6 +67,10 @@
       m_silent.push_back(std::move(aSocket));
       co_return;
     }
+    if (reply.m_pause.count() > 0) {
+      co_await SendSlowly(aSocket, reply);
+      co_return;
+    }
     http::response<http::string_body> response(
       http::int_to_status(static_cast<unsigned>(reply.m_status)), 11);
     response.body() = reply.m_body;
@@ -72,6 +78,30 @@
     co_await http::async_write(aSocket, response, asio::use_awaitable);
   }
 
+  static asio::awaitable<void> SendSlowly(asio::ip::tcp::socket& aSocket,
+                                          Reply aReply)
+  {
+    constexpr std::size_t kParts = 6;
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                               std::to_string(aReply.m_body.size()) +
+                               "\r\n\r\n" + aReply.m_body;
+    const std::size_t step = answer.size() / kParts + 1;
+    asio::steady_timer timer(aSocket.get_executor());
+    for (std::size_t at = 0; at < answer.size(); at += step) {
+      timer.expires_after(aReply.m_pause);
+      co_await timer.async_wait(asio::use_awaitable);
+      const std::string part = answer.substr(at, step);
+      boost::system::error_code error;
+      co_await asio::async_write(
+        aSocket,
+        asio::buffer(part),
+        asio::redirect_error(asio::use_awaitable, error));
+      if (error) {
+        co_return;
+      }
+    }
+  }
+
   asio::ip::tcp::acceptor m_acceptor;
   Hook m_hook;
   int m_calls = 0;
@@ -199,6 +229,18 @@
     CHECK(absl::IsUnavailable(Await(io, client.Get("k")).status()));
   }
 
+  // A call that was nearly complete was once given up, and made again.
+  SECTION("reads an answer to its end while its bytes come slowly")
+  {
+    next.m_body = R"({"key":"k","value":"bm9kZS0x","rev":4,"currentRev":5})";
+    next.m_pause = std::chrono::milliseconds(200);
+    const auto item = Await(io, client.Get("k"));
+    REQUIRE(item.ok());
+    CHECK(item->m_value == "node-1");
+    CHECK(store.Calls() == 1);
+    CHECK(client.IsReachable());
+  }
+
   SECTION("goes through another router while the store turns it away")
   {
     StoreClient other(io, store.Address());
