Endless bytes that are no answer end an exchange early, in head, body, chunk, trailers or event

Cause: interim answers were neither counted nor bounded; a body was read up to 16 MB for each request, with no bound over all (ten such requests are the memory of a small router); a chunk's extension, trailers and an event without an end were bounded by the deadline alone.

Noise, an endless status line, one endless field and endless fields were refused by the parser's limit of 8 KB already.

The search for an event's end no longer begins anew with each read.

Why it works: each way in which bytes can come without completing anything has a bound in bytes; the caller is told 502 at once, or the call goes to another upstream if it may run again.

--- a/include/bergamotpaddle/Forwarding/Endpoint.h
+++ b/include/bergamotpaddle/Forwarding/Endpoint.h
@@ -1,5 +1,5 @@
 /// \file
-/// Addresses as text, and listening on them.
+/// Addresses as text, listening on them, and what a connection may hold.
 #pragma once
 
 #include <absl/status/statusor.h>
@@ -8,6 +8,10 @@
 
 namespace bergamotpaddle {
 
+/// Bytes of a message that wait to be parsed. A head, the extension of a chunk
+/// and trailers have to fit; without a bound they may come without end.
+constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
+
 /// Reads "IP:PORT"; fails on anything else.
 absl::StatusOr<boost::asio::ip::tcp::endpoint>
 ParseEndpoint(const std::string& aText);
--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -71,8 +71,14 @@
   Duration m_leastTimeLeft = std::chrono::milliseconds(5);
   /// Bodies of requests in memory at once, over all callers.
   std::uint64_t m_maxBufferedBodies = 64ULL * 1024 * 1024;
-  /// Longest answer that is collected before it is passed on.
-  std::uint64_t m_maxAnswerBytes = 16ULL * 1024 * 1024;
+  /// Longest answer, as it is framed, that is collected before it is passed
+  /// on: the bound that the users' operators set for requests.
+  std::uint64_t m_maxAnswerBytes = 4ULL * 1024 * 1024;
+  /// All answers being collected: a fifth of the least memory on the users'
+  /// sheets, 160 MB.
+  std::uint64_t m_maxBufferedAnswers = 32ULL * 1024 * 1024;
+  /// Longest event of a stream; events on the users' sheets are below 1 KB.
+  std::size_t m_maxEventBytes = 256UL * 1024;
   /// A whole request body has to come in within this time.
   Duration m_bodyTimeout = std::chrono::seconds(15);
   /// Longest wait of a request for a draw of credit: a few writes, and short
@@ -118,6 +124,7 @@
   bool m_isStopping = false;
   std::size_t m_requestsUnderWay = 0;
   std::uint64_t m_bufferedBodies = 0;
+  std::uint64_t m_bufferedAnswers = 0; ///< Bytes of answers being collected.
   /// Asks for a draw of credit at once; false if the platform is out of reach
   /// and none will come.
   std::function<bool()> m_drawCredit = [] { return false; };
--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -96,6 +96,7 @@
   std::shared_ptr<UpstreamExchange> m_exchange;
   UpstreamAnswer m_answer; ///< The latest whole failure.
   std::string m_answerBody;
+  std::uint64_t m_answerCharge = 0; ///< Counted in m_bufferedAnswers.
   bool m_hasAnswer = false;
   // For the log.
   ResultCode m_code = ResultCode::kInternal;
--- a/include/bergamotpaddle/Gateway/EventSplitter.h
+++ b/include/bergamotpaddle/Gateway/EventSplitter.h
@@ -21,8 +21,9 @@
   std::string Take(std::string_view aBytes);
 
   /// Bytes of an event that is not whole yet.
-  /// Events passed on since the last `ResetCount`.
+  std::size_t PartialBytes() const { return m_partial.size(); }
   bool HasPartial() const { return !m_partial.empty(); }
+  /// Events passed on since the last `ResetCount`.
   std::uint64_t Events() const { return m_events; }
   void ResetCount() { m_events = 0; }
   /// The id of the last whole event, as the upstream wrote it.
--- a/lib/Forwarding/CallerConnection.cpp
+++ b/lib/Forwarding/CallerConnection.cpp
@@ -1,4 +1,5 @@
 #include "bergamotpaddle/Forwarding/CallerConnection.h"
+#include "bergamotpaddle/Forwarding/Endpoint.h"
 #include "bergamotpaddle/Support/Text.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -124,6 +125,8 @@
     m_state->m_routes ? m_state->m_routes->Limits() : CallerLimits{};
   RequestParser parser;
   parser.header_limit(limits.m_maxHeaderBytes);
+  m_buffer.max_size(
+    std::max<std::size_t>(kMaxUnparsedBytes, limits.m_maxHeaderBytes));
   parser.body_limit(limits.m_maxBodyBytes);
   ErrorCode error;
   const Instant begun = m_state->Now();
--- a/lib/Forwarding/GatewayServer.cpp
+++ b/lib/Forwarding/GatewayServer.cpp
@@ -163,7 +163,7 @@
 GatewayServer::Awaitable<void>
 GatewayServer::ServePage(Tcp::socket aSocket, PageHook aPage)
 {
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxUnparsedBytes);
   ErrorCode error;
   while (!error) {
     http::request<http::empty_body> request;
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -35,6 +35,7 @@
 
 RequestRun::~RequestRun()
 {
+  m_state->m_bufferedAnswers -= m_answerCharge;
   --m_state->m_requestsUnderWay;
 }
 
@@ -252,13 +253,18 @@
 RequestRun::Collect(const UpstreamAnswer& aAnswer)
 {
   std::string body;
+  const ForwardingOptions& options = m_state->m_options;
   while (!m_exchange->IsWhole()) {
     const std::string bytes = co_await m_exchange->ReadBody();
     body += bytes;
+    m_answerCharge += bytes.size();
+    m_state->m_bufferedAnswers += bytes.size();
     if (m_isCallerGone) {
       co_return ExchangeEnd::kCallerGone;
     }
-    const bool isTooLong = body.size() > m_state->m_options.m_maxAnswerBytes;
+    const bool isTooLong =
+      m_exchange->Bytes().m_received > options.m_maxAnswerBytes ||
+      m_state->m_bufferedAnswers > options.m_maxBufferedAnswers;
     if (isTooLong || (bytes.empty() && !m_exchange->IsWhole())) {
       m_why = isTooLong ? "the answer is too long" : "the answer broke off";
       co_return ExchangeEnd::kBroken;
@@ -295,6 +301,10 @@
       co_return ExchangeEnd::kCallerGone;
     }
     const std::string events = splitter.Take(bytes);
+    if (splitter.PartialBytes() > m_state->m_options.m_maxEventBytes) {
+      m_why = "an event of the stream is too long";
+      co_return ExchangeEnd::kBroken;
+    }
     if (splitter.HasGap()) {
       m_why = "an event of the stream is missing";
       co_return ExchangeEnd::kBroken;
--- a/lib/Forwarding/UpstreamExchange.cpp
+++ b/lib/Forwarding/UpstreamExchange.cpp
@@ -20,6 +20,8 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr int kFirstFinalStatus = 200;
+/// All heads of one exchange, interim ones included; upstreams' are below 1 KB.
+constexpr std::uint64_t kMaxHeadBytes = 32ULL * 1024;
 /// Whoever collects a body bounds it. "No limit" by an empty value fails in
 /// Beast of Boost 1.74.
 constexpr std::uint64_t kNoLimit = std::numeric_limits<std::uint64_t>::max();
@@ -40,6 +42,7 @@
 
 UpstreamExchange::UpstreamExchange(const asio::any_io_executor& aExecutor)
   : m_socket(aExecutor)
+  , m_buffer(kMaxUnparsedBytes)
 {
 }
 
@@ -89,6 +92,9 @@
     m_parser->skip(aIsHeadRequest);
     m_bytes.m_received += co_await http::async_read_header(
       m_socket, m_buffer, *m_parser, Into(error));
+    if (!error && m_bytes.m_received > kMaxHeadBytes) {
+      error = http::error::header_limit;
+    }
   } while (!error && m_parser->get().result_int() < kFirstFinalStatus);
   if (error) {
     m_error = error.message();
--- a/lib/Gateway/EventSplitter.cpp
+++ b/lib/Gateway/EventSplitter.cpp
@@ -36,10 +36,13 @@
 std::string
 EventSplitter::Take(std::string_view aBytes)
 {
+  // Bytes looked at before hold no end, but may hold the first half of one.
+  const std::size_t fresh = m_partial.empty() ? 0 : m_partial.size() - 1;
   m_partial.append(aBytes);
   std::string whole;
   std::size_t begin = 0;
-  for (std::size_t end = m_partial.find(kEventEnd); end != std::string::npos;
+  for (std::size_t end = m_partial.find(kEventEnd, fresh);
+       end != std::string::npos;
        end = m_partial.find(kEventEnd, begin)) {
     const std::size_t next = end + kEventEnd.size();
     const std::string_view event =
