--- a/include/bergamotpaddle/Forwarding/PeerLink.h
+++ b/include/bergamotpaddle/Forwarding/PeerLink.h
@@ -44,6 +44,12 @@
   /// The routers to talk to, as IP:PORT, without this one.
   void SetPeers(const std::set<std::string>& aAddresses);
 
+  /// Called when a router is heard that is not among the peers.
+  void OnStranger(std::function<void()> aHook)
+  {
+    m_onStranger = std::move(aHook);
+  }
+
   /// Our load on \p aUpstream changed.
   void NoteChanged(const UpstreamId& aUpstream,
                    const std::vector<PromptPart>& aParts);
@@ -67,6 +73,7 @@
   boost::asio::steady_timer m_next;         ///< When the next datagram leaves.
   std::map<Udp::endpoint, Instant> m_peers; ///< When each was heard last.
   DigestSchedule m_schedule;
+  std::function<void()> m_onStranger = [] {};
 };
 
 } // namespace bergamotpaddle
--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -9,6 +9,11 @@
 /// spending only once a write of this router that holds it is confirmed: a
 /// value that was merely read could be undone by an older write of ours that
 /// the platform carries out late.
+///
+/// Load pattern: many routers that all draw from every account. Their writes of
+/// the one record conflict, those with slow links hardly ever win, and what
+/// each holds ahead is lost to the others. So one router, the account's home,
+/// draws for all; the others borrow from it as their requests come.
 #pragma once
 
 #include "bergamotpaddle/Support/Time.h"
@@ -20,6 +25,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace bergamotpaddle {
 
@@ -92,6 +98,9 @@
   double m_leastShare = 0.025;
   /// Demand that is asked of another router at a time.
   Duration m_borrowedSpan = std::chrono::seconds(3);
+  /// A home that could lend nothing is asked again after this time: a draw,
+  /// with a conflict or two.
+  Duration m_emptyHold = std::chrono::milliseconds(400);
   /// A grant above the wanted one by this factor is lowered.
   double m_returnAbove = 1.5;
 };
@@ -114,6 +123,17 @@
   auto operator<=>(const CreditStatus&) const = default;
 };
 
+/// What a home says of an account when it is asked to lend.
+struct CreditLoan
+{
+  std::uint64_t m_lent = 0;
+  /// Of the budget beyond what is spent for certain, by anyone: the most that
+  /// any request may still get.
+  std::uint64_t m_rest = 0;
+  std::uint64_t m_prepaid = 0; ///< The budget that m_rest is of.
+  auto operator<=>(const CreditLoan&) const = default;
+};
+
 /// The accounts of one router.
 class CreditBook
 {
@@ -136,10 +156,13 @@
   CreditVerdict AllotAwaited(const AccountId& aAccount, std::uint64_t aMost);
   /// The request gives up waiting.
   void StopAwaiting(const AccountId& aAccount, std::uint64_t aMost);
-  bool IsAwaited() const { return m_awaiting > 0; }
-  /// Whether a draw may bring credit of the account: some is granted to nobody,
-  /// as far as this router knows.
-  bool CanDraw(const AccountId& aAccount) const;
+  /// Whether requests, here or at routers that borrow, wait for a draw.
+  bool IsAwaited() const;
+  /// Whether asking may bring credit of the account: some is granted to nobody,
+  /// as far as this router knows, or its home has not just said otherwise.
+  bool CanObtain(const AccountId& aAccount, Instant aNow) const;
+  /// Whether another router draws for this one.
+  bool IsBorrowed(const AccountId& aAccount) const;
 
   /// A request ended that was allotted \p aMost and used \p aUsed of it.
   void Settle(const AccountId& aAccount,
@@ -152,10 +175,32 @@
   std::map<AccountId, std::uint64_t> Lend(
     const std::map<AccountId, std::uint64_t>& aWanted,
     double aShare);
+  /// As Lend, to routers that have this one draw for them: their wishes are
+  /// demand here, and are met in full if they can be.
+  std::map<AccountId, CreditLoan> LendAsHome(
+    const std::map<AccountId, std::uint64_t>& aWanted,
+    Instant aNow);
   /// Everything spendable, as a wish.
   std::map<AccountId, std::uint64_t> AllSpendable() const;
   /// Takes what another router lent; it may be spent at once.
   void Borrow(const std::map<AccountId, std::uint64_t>& aTokens);
+  /// Who draws credit of an account.
+  enum class Drawer
+  {
+    kEach, ///< Each router for itself.
+    kHome, ///< This router, for all.
+    kOther ///< Another router, of which this one borrows.
+  };
+  void SetDrawer(const AccountId& aAccount, Drawer aDrawer);
+  /// Accounts with a budget.
+  std::vector<AccountId> Accounts() const;
+  /// What to borrow now of homes: less than half of what is held ahead is left,
+  /// or requests wait.
+  std::map<AccountId, std::uint64_t> ToBorrow(Instant aNow) const;
+  /// Takes what a home said; what it lent may be spent at once.
+  void BorrowFromHome(const std::map<AccountId, CreditLoan>& aLoans,
+                      Instant aNow);
+
   /// What is wanted of accounts that were refused for want of credit since the
   /// last call.
   std::map<AccountId, std::uint64_t> TakeWanted(Instant aNow);
@@ -198,6 +243,10 @@
     std::uint64_t m_borrowed = 0; ///< We spend it under others' grants.
     std::uint64_t m_awaited = 0;  ///< Requests wait for it.
     bool m_hasRefused = false;    ///< For want of credit, since asked last.
+    Drawer m_drawer = Drawer::kEach;
+    bool m_isUnmet = false;             ///< As home, of what was asked of us.
+    Instant m_emptyUntil{};             ///< The home had nothing to lend.
+    std::optional<CreditLoan> m_told;   ///< What the home said last.
     std::uint64_t m_freeAtLastRead = 0; ///< Not granted to anyone.
     std::uint64_t m_spentByOthers = 0;  ///< For certain, when read last.
     double m_rateOfOthers = 0;          ///< Tokens a second, when read last.
@@ -206,6 +255,7 @@
     double m_usualRequest = 0;          ///< Greatest size, moving average.
     std::optional<Instant> m_lastDemand;
 
+    bool IsBorrowed() const { return m_drawer == Drawer::kOther; }
     /// What our own grant allows, whichever write takes effect.
     std::uint64_t OwnLimit() const;
     std::uint64_t Limit() const { return OwnLimit() + m_borrowed; }
@@ -220,7 +270,11 @@
   static CreditVerdict TakeFrom(Balance& aBalance, std::uint64_t aMost);
   double RateAt(const Balance& aBalance, Instant aNow) const;
   void NoteDemand(Balance& aBalance, std::uint64_t aTokens, Instant aNow) const;
+  void NoteDemandRate(Balance& aBalance,
+                      std::uint64_t aTokens,
+                      Instant aNow) const;
   std::uint64_t Headroom(const Balance& aBalance, Instant aNow) const;
+  std::uint64_t BorrowedHeadroom(const Balance& aBalance, Instant aNow) const;
   std::uint64_t WantedGrant(const Balance& aBalance,
                             std::uint64_t aFree,
                             Instant aNow) const;
@@ -231,7 +285,6 @@
   CreditHolder m_self;
   CreditOptions m_options;
   bool m_isStopped = false;
-  std::size_t m_awaiting = 0; ///< Requests that wait for credit.
 
   std::size_t m_holders = 1; ///< In the record read last.
   std::map<AccountId, Balance> m_balances;
--- a/lib/Forwarding/PeerLink.cpp
+++ b/lib/Forwarding/PeerLink.cpp
@@ -221,7 +221,9 @@
                      .Reason(digest.status()));
       continue;
     }
-    if (peer != m_peers.end()) {
+    if (peer == m_peers.end()) {
+      m_onStranger();
+    } else {
       peer->second = m_state->Now();
       ApplyDigest(*digest, m_state->m_upstreams, m_state->Now());
       if (digest->m_storeAgeMs >= 0) {
--- a/lib/Forwarding/RequestAdmission.cpp
+++ b/lib/Forwarding/RequestAdmission.cpp
@@ -123,14 +123,14 @@
   CreditBook& credit = m_state->m_credit;
   const AccountId account = m_account->m_id;
   CreditVerdict verdict = CreditVerdict::kOutOfReach;
-  if (!credit.CanDraw(account)) {
+  if (!credit.CanObtain(account, m_arrivedAt)) {
     co_return verdict;
   }
   credit.Await(account, aMost);
   asio::steady_timer timer(m_executor);
   const Instant until = m_arrivedAt + m_state->m_options.m_creditWait;
   while (verdict == CreditVerdict::kOutOfReach && m_state->Now() < until &&
-         credit.CanDraw(account) && m_state->m_drawCredit()) {
+         credit.CanObtain(account, m_state->Now()) && m_state->m_drawCredit()) {
     timer.expires_after(m_state->m_options.m_creditPoll);
     boost::system::error_code ignored;
     co_await timer.async_wait(
--- a/lib/Gateway/CreditBook.cpp
+++ b/lib/Gateway/CreditBook.cpp
@@ -160,8 +160,13 @@
   // What others spent only grows, so a budget that does not cover the request
   // beside that never will, unless it is raised.
   aBalance.m_hasRefused = true;
-  const bool isCertain =
+  const bool isCertainHere =
     aBalance.m_prepaid < aBalance.m_spentByOthers + aBalance.OwnSpent() + aMost;
+  const bool isCertainThere =
+    aBalance.IsBorrowed() && aBalance.m_told &&
+    aBalance.m_told->m_prepaid == aBalance.m_prepaid &&
+    aBalance.m_told->m_rest < aMost;
+  const bool isCertain = isCertainHere || isCertainThere;
   return isCertain ? CreditVerdict::kExhausted : CreditVerdict::kOutOfReach;
 }
 
@@ -169,7 +174,6 @@
 CreditBook::Await(const AccountId& aAccount, std::uint64_t aMost)
 {
   m_balances[aAccount].m_awaited += aMost;
-  ++m_awaiting;
 }
 
 CreditVerdict
@@ -189,15 +193,109 @@
 CreditBook::StopAwaiting(const AccountId& aAccount, std::uint64_t aMost)
 {
   m_balances[aAccount].m_awaited -= aMost;
-  --m_awaiting;
 }
 
 bool
-CreditBook::CanDraw(const AccountId& aAccount) const
+CreditBook::IsAwaited() const
+{
+  return std::any_of(
+    m_balances.begin(), m_balances.end(), [](const auto& aEntry) {
+      const Balance& balance = aEntry.second;
+      const bool isWanted = balance.m_awaited > 0 || balance.m_isUnmet;
+      return !balance.IsBorrowed() && isWanted;
+    });
+}
+
+bool
+CreditBook::CanObtain(const AccountId& aAccount, Instant aNow) const
+{
+  const auto found = m_balances.find(aAccount);
+  if (found == m_balances.end() || m_isStopped) {
+    return false;
+  }
+  const Balance& balance = found->second;
+  return balance.IsBorrowed() ? aNow >= balance.m_emptyUntil
+                              : balance.m_freeAtLastRead > 0;
+}
+
+bool
+CreditBook::IsBorrowed(const AccountId& aAccount) const
 {
   const auto found = m_balances.find(aAccount);
-  return found != m_balances.end() && !m_isStopped &&
-         found->second.m_freeAtLastRead > 0;
+  return found != m_balances.end() && found->second.IsBorrowed();
+}
+
+void
+CreditBook::SetDrawer(const AccountId& aAccount, Drawer aDrawer)
+{
+  if (const auto found = m_balances.find(aAccount); found != m_balances.end()) {
+    found->second.m_drawer = aDrawer;
+  }
+}
+
+std::vector<AccountId>
+CreditBook::Accounts() const
+{
+  std::vector<AccountId> accounts;
+  accounts.reserve(m_balances.size());
+  for (const auto& [account, balance] : m_balances) {
+    accounts.push_back(account);
+  }
+  return accounts;
+}
+
+std::map<AccountId, std::uint64_t>
+CreditBook::ToBorrow(Instant aNow) const
+{
+  std::map<AccountId, std::uint64_t> wanted;
+  for (const auto& [account, balance] : m_balances) {
+    if (!balance.IsBorrowed() || aNow < balance.m_emptyUntil) {
+      continue;
+    }
+    const std::uint64_t ahead = BorrowedHeadroom(balance, aNow);
+    const std::uint64_t left = Spendable(account);
+    if (left < ahead / 2 || left < balance.m_awaited) {
+      wanted[account] = ahead - std::min(ahead, left);
+    }
+  }
+  return wanted;
+}
+
+void
+CreditBook::BorrowFromHome(const std::map<AccountId, CreditLoan>& aLoans,
+                           Instant aNow)
+{
+  for (const auto& [account, loan] : aLoans) {
+    Balance& balance = m_balances[account];
+    balance.m_borrowed += loan.m_lent;
+    balance.m_told = loan;
+    if (loan.m_lent == 0) {
+      balance.m_emptyUntil = aNow + m_options.m_emptyHold;
+    }
+  }
+}
+
+std::map<AccountId, CreditLoan>
+CreditBook::LendAsHome(const std::map<AccountId, std::uint64_t>& aWanted,
+                       Instant aNow)
+{
+  std::map<AccountId, CreditLoan> loans;
+  for (const auto& [account, wanted] : aWanted) {
+    const auto found = m_balances.find(account);
+    if (found == m_balances.end()) {
+      continue;
+    }
+    Balance& balance = found->second;
+    NoteDemandRate(balance, wanted, aNow);
+    const std::uint64_t lent = std::min(wanted, Spendable(account));
+    balance.m_lent += lent;
+    balance.m_isUnmet = lent < wanted && balance.m_freeAtLastRead > 0;
+    const std::uint64_t spent = balance.m_spentByOthers + balance.OwnSpent();
+    loans[account] = { lent,
+                       balance.m_prepaid - std::min(balance.m_prepaid, spent),
+                       balance.m_prepaid };
+  }
+  return loans;
 }
 
 void
@@ -275,10 +373,8 @@
                        std::uint64_t aTokens,
                        Instant aNow) const
 {
+  NoteDemandRate(aBalance, aTokens, aNow);
   const double tokens = static_cast<double>(aTokens);
-  aBalance.m_demandRate =
-    RateAt(aBalance, aNow) + tokens / Seconds(m_options.m_demandSpan);
-  aBalance.m_lastDemand = aNow;
   aBalance.m_usualRequest =
     aBalance.m_usualRequest == 0
       ? tokens
@@ -286,9 +382,34 @@
           kRequestSmoothing * (tokens - aBalance.m_usualRequest);
 }
 
+void
+CreditBook::NoteDemandRate(Balance& aBalance,
+                           std::uint64_t aTokens,
+                           Instant aNow) const
+{
+  aBalance.m_demandRate =
+    RateAt(aBalance, aNow) +
+    static_cast<double>(aTokens) / Seconds(m_options.m_demandSpan);
+  aBalance.m_lastDemand = aNow;
+}
+
+std::uint64_t
+CreditBook::BorrowedHeadroom(const Balance& aBalance, Instant aNow) const
+{
+  const double rate = RateAt(aBalance, aNow);
+  const double byDemand = rate * Seconds(m_options.m_borrowedSpan);
+  const double byRequests =
+    rate == 0 ? 0 : aBalance.m_usualRequest * m_options.m_minRequests;
+  return std::max(aBalance.m_awaited,
+                  static_cast<std::uint64_t>(std::max(byDemand, byRequests)));
+}
+
 std::uint64_t
 CreditBook::Headroom(const Balance& aBalance, Instant aNow) const
 {
+  if (aBalance.IsBorrowed()) {
+    return 0; // What is needed here is borrowed.
+  }
   const auto prepaid = static_cast<double>(aBalance.m_prepaid);
   const double rate = RateAt(aBalance, aNow);
   const double ofDemand =
@@ -300,11 +421,14 @@
     std::max(faded, m_options.m_leastShare * prepaid) * ofDemand;
   const double byDemand = std::min(rate * Seconds(m_options.m_headroom), most);
   const double byRequests = m_options.m_minRequests * aBalance.m_usualRequest;
+  // A home alone holds what routers hold together without demand.
+  const double holders =
+    aBalance.m_drawer == Drawer::kHome ? 1.0 : static_cast<double>(m_holders);
   const double withoutDemand =
     std::min(m_options.m_initialShare *
                static_cast<double>(aBalance.m_freeAtLastRead),
              std::max(faded, 0.0)) /
-    static_cast<double>(m_holders);
+    holders;
   return std::max(aBalance.m_awaited,
                   static_cast<std::uint64_t>(
                     std::max({ byDemand, byRequests, withoutDemand })));
@@ -381,6 +505,7 @@
               static_cast<std::uint64_t>(RateAt(balance, aNow)) };
     balance.m_planned = grant.m_granted;
     balance.m_hasPlan = true;
+    balance.m_isUnmet = false;
     isChanged = isChanged || grant.m_granted != inRecord;
   }
   if (!isChanged) {
--- a/unittests/Gateway/CreditBookTest.cpp
+++ b/unittests/Gateway/CreditBookTest.cpp
@@ -71,7 +71,7 @@
     Draw(first, record, At(0));
     const std::uint64_t large = first.Spendable(kCafe) + 50'000;
     REQUIRE(first.Allot(kCafe, large, At(1)) == CreditVerdict::kOutOfReach);
-    REQUIRE(first.CanDraw(kCafe));
+    REQUIRE(first.CanObtain(kCafe, At(0)));
     first.Await(kCafe, large);
     CHECK(first.IsAwaited());
     Draw(first, record, At(1));
@@ -82,7 +82,7 @@
     {
       record.m_accounts[kCafe].m_closed = kPrepaid;
       Draw(first, record, At(2));
-      CHECK_FALSE(first.CanDraw(kCafe));
+      CHECK_FALSE(first.CanObtain(kCafe, At(0)));
     }
   }
 
--- a/unittests/Gateway/CreditFuzzTest.cpp
+++ b/unittests/Gateway/CreditFuzzTest.cpp
@@ -149,6 +149,25 @@
     }
   }
 
+  /// One host is told who draws.
+  void SetDrawer(int aHost, CreditBook::Drawer aDrawer)
+  {
+    m_hosts[aHost].m_book->SetDrawer(kKitchen, aDrawer);
+  }
+
+  /// One host borrows of another as its home; the answer may be lost.
+  void AskHome(int aFrom, int aHome, bool aIsLost)
+  {
+    if (aFrom == aHome) {
+      return;
+    }
+    const auto loans = m_hosts[aHome].m_book->LendAsHome(
+      { { kKitchen, static_cast<std::uint64_t>(Pick(1, 20'000)) } }, m_now);
+    if (!aIsLost) {
+      m_hosts[aFrom].m_book->BorrowFromHome(loans, m_now);
+    }
+  }
+
   void Stop(int aHost)
   {
     Host& host = m_hosts[aHost];
@@ -201,7 +220,7 @@
     World world;
     for (int step = 0; step < kSteps; ++step) {
       const int host = Pick(0, kRouters);
-      switch (Pick(0, 11)) {
+      switch (Pick(0, 14)) {
         case 0:
         case 1:
         case 2:
@@ -226,6 +245,13 @@
         case 9:
           world.Lend(host, Pick(0, kRouters), Pick(0, 4) == 0);
           break;
+        case 10:
+          world.SetDrawer(host, static_cast<CreditBook::Drawer>(Pick(0, 3)));
+          break;
+        case 11:
+        case 12:
+          world.AskHome(host, Pick(0, kRouters), Pick(0, 4) == 0);
+          break;
         default:
           Pick(0, 4) == 0 ? world.Start(host) : world.Stop(host);
       }
