The credit loop and the store's confirmations are classes of their own

Cause: PlatformWatch follows the configuration and the upstreams, and also drew credit; the mending of late configurations changes the first part alone. Change: CreditLoop and StoreConfirmations take what was theirs; no logic changed.

--- a/unittests/Platform/PlatformWatchTest.cpp
+++ b/unittests/Platform/PlatformWatchTest.cpp
@@ -149,11 +149,12 @@
   GatewayState state(
     MakeDialect(), {}, { "host", HolderId("host/1"), "127.0.0.1:1" }, {}, log);
   StoreClient client(io, store.m_server.Address());
-  PlatformWatch watch(io, state, client);
+  StoreConfirmations confirmations(state);
+  PlatformWatch watch(io, state, client, confirmations);
   store.PutVersion(1, 100);
   store.PutUpstream("u1", "ready");
   store.PutUpstream("u2", "ready");
-  watch.Start([](const CreditRecord&) {});
+  watch.Start();
   const auto runUntil = [&io](milliseconds aMost, const auto& aIsDone) {
     const auto end = std::chrono::steady_clock::now() + aMost;
     while (!aIsDone() && std::chrono::steady_clock::now() < end) {
