Routers with wide links read the store; the others are told what changed

What callers saw: 404 for routes confirmed seconds before, at routers on 10 Mbit/s (CONFIG). Cause: every router took every version of the configuration whole, 763 KB for 3,250 routes, over the link that callers fill; one connection among hundreds got 100 to 175 KB/s of it, so a call took 4 to 15 s against a bound of 3 s. Each router keeps a copy of the items with their revisions (FeedReplica), answers calls that wait for a change with what the caller lacks, and sends large items as differences (DocumentDelta). Datagrams tell the age and the revision of the copies; a router that hears of more asks the one that told (FeedSource). The store stays the source: without a reader that is up to date a router reads it itself. A start without the store uses the same call. Why it works: a version of one changed route is 0.8 KB instead of 763. Conclusion: the size is mended; calls over a full link still take two round trips of a second each.

--- a/include/bergamotpaddle/Forwarding/PeerLink.h
+++ b/include/bergamotpaddle/Forwarding/PeerLink.h
@@ -50,6 +50,21 @@
     m_onStranger = std::move(aHook);
   }
 
+  /// Asked for what each datagram tells of this router's copies.
+  void DescribeFeeds(std::function<FeedSign()> aHook)
+  {
+    m_describeFeeds = std::move(aHook);
+  }
+
+  /// Called with what a router, as IP:PORT, tells of its copies.
+  void OnSign(std::function<void(const std::string&, FeedSign)> aHook)
+  {
+    m_onSign = std::move(aHook);
+  }
+
+  /// The copies of this router changed: tells its peers before long.
+  void NoteFeedChanged();
+
   /// Our load on \p aUpstream changed.
   void NoteChanged(const UpstreamId& aUpstream,
                    const std::vector<PromptPart>& aParts);
@@ -74,6 +89,9 @@
   std::map<Udp::endpoint, Instant> m_peers; ///< When each was heard last.
   DigestSchedule m_schedule;
   std::function<void()> m_onStranger = [] {};
+  std::function<FeedSign()> m_describeFeeds = [] { return FeedSign(); };
+  std::function<void(const std::string&, FeedSign)> m_onSign =
+    [](const std::string&, const FeedSign&) {};
 };
 
 } // namespace bergamotpaddle
--- a/include/bergamotpaddle/Gateway/DigestSchedule.h
+++ b/include/bergamotpaddle/Gateway/DigestSchedule.h
@@ -51,6 +51,9 @@
                    const std::vector<std::uint64_t>& aParts,
                    Instant aNow);
 
+  /// There is something to tell besides the load on upstreams.
+  void NoteNews(Instant aNow);
+
   /// When the next datagrams leave.
   Instant DueAt() const;
 
--- a/include/bergamotpaddle/Gateway/PeerDigest.h
+++ b/include/bergamotpaddle/Gateway/PeerDigest.h
@@ -1,10 +1,12 @@
 /// \file
-/// What routers tell one another about the load that they put on upstreams.
+/// What routers tell one another about the load that they put on upstreams, and
+/// about their copies of what the store holds.
 ///
 /// A datagram holds the sender's whole load on some upstreams, never
 /// differences, so a lost one is made good by the next.
 #pragma once
 
+#include "bergamotpaddle/Gateway/FeedSource.h"
 #include "bergamotpaddle/Gateway/UpstreamView.h"
 
 #include <absl/status/statusor.h>
@@ -39,15 +41,33 @@
 struct PeerDigest
 {
   /// Of this layout; others are not read.
-  static constexpr int kVersion = 2;
+  static constexpr int kVersion = 3;
   int m_version = kVersion;
   std::string m_from; ///< The sender's life.
   /// Since the store last answered the sender; negative: it never did.
   std::int64_t m_storeAgeMs = -1;
+  double m_linkMbps = 0; ///< The sender's link.
+  std::string m_zone;    ///< Its availability zone.
+  /// Of its copies of what the store holds; negative: it does not read them
+  /// from the store.
+  std::int64_t m_feedAgeMs = -1;
+  /// Revisions of the last changes that it knows, one for each feed.
+  std::vector<std::uint64_t> m_feedsChanged;
   std::vector<UpstreamDigest> m_upstreams;
-  MSGPACK_DEFINE(m_version, m_from, m_storeAgeMs, m_upstreams)
+  MSGPACK_DEFINE(m_version,
+                 m_from,
+                 m_storeAgeMs,
+                 m_linkMbps,
+                 m_zone,
+                 m_feedAgeMs,
+                 m_feedsChanged,
+                 m_upstreams)
   auto operator<=>(const PeerDigest&) const = default;
 
+  /// What the sender tells of its copies.
+  FeedSign Sign() const;
+  void SetSign(const FeedSign& aSign);
+
   std::string Encode() const;
   static absl::StatusOr<PeerDigest> Decode(std::string_view aBytes);
 };
--- a/include/bergamotpaddle/Metrics/Traffic.h
+++ b/include/bergamotpaddle/Metrics/Traffic.h
@@ -14,7 +14,7 @@
 {
   kCallers,
   kUpstreams,
-  kRouters, ///< Datagrams between routers.
+  kRouters, ///< Datagrams between routers, and calls at them.
   kStore,   ///< The platform's store, also through another router.
 };
 constexpr std::size_t kTrafficPeers = 4;
--- a/lib/Forwarding/PeerLink.cpp
+++ b/lib/Forwarding/PeerLink.cpp
@@ -110,6 +110,16 @@
   }
 }
 
+void
+PeerLink::NoteFeedChanged()
+{
+  const Instant before = m_schedule.DueAt();
+  m_schedule.NoteNews(m_state->Now());
+  if (m_schedule.DueAt() < before) {
+    m_next.cancel();
+  }
+}
+
 std::vector<std::string>
 PeerLink::Reachable() const
 {
@@ -149,6 +159,7 @@
 {
   PeerDigest digest;
   digest.m_from = m_life;
+  digest.SetSign(m_describeFeeds());
   if (const auto answeredAt = m_state->m_storeContact.AnsweredAt()) {
     digest.m_storeAgeMs = Milliseconds(aNow - *answeredAt);
   }
@@ -226,6 +237,7 @@
     } else {
       peer->second = m_state->Now();
       ApplyDigest(*digest, m_state->m_upstreams, m_state->Now());
+      m_onSign(Text(from), digest->Sign());
       if (digest->m_storeAgeMs >= 0) {
         m_state->m_storeContact.NotePeer(
           m_state->Now(), std::chrono::milliseconds(digest->m_storeAgeMs));
--- a/lib/Gateway/DigestSchedule.cpp
+++ b/lib/Gateway/DigestSchedule.cpp
@@ -39,6 +39,12 @@
       told.m_newParts.insert(part);
     }
   }
+  NoteNews(aNow);
+}
+
+void
+DigestSchedule::NoteNews(Instant aNow)
+{
   if (!std::exchange(m_isChanged, true)) {
     m_changedAt = aNow;
   }
--- /dev/null
+++ b/lib/Gateway/FeedReplica.cpp
@@ -0,0 +1,225 @@
+#include "bergamotpaddle/Gateway/FeedReplica.h"
+
+#include "bergamotpaddle/Gateway/DocumentDelta.h"
+#include "bergamotpaddle/Support/Text.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bergamotpaddle {
+
+FeedReplica::FeedReplica(FeedReplicaOptions aOptions)
+  : m_options(aOptions)
+{
+}
+
+std::vector<StoreItem>
+FeedReplica::TakeList(std::vector<StoreItem> aItems, std::uint64_t aRevision)
+{
+  if (aRevision < m_revision) {
+    return TakeChanges(std::move(aItems), aRevision); // Overtaken meanwhile.
+  }
+  if (aRevision > m_revision) {
+    // Keys may have come and gone unseen.
+    m_completeSince = aRevision;
+  }
+  AddMissing(aItems, aRevision);
+  return KeepNews(std::move(aItems), aRevision);
+}
+
+std::vector<StoreItem>
+FeedReplica::TakeChanges(std::vector<StoreItem> aItems, std::uint64_t aRevision)
+{
+  // What is no newer than this copy and not in it was removed since.
+  std::erase_if(aItems, [this](const StoreItem& aItem) {
+    return aItem.m_revision <= m_revision;
+  });
+  return KeepNews(std::move(aItems), aRevision);
+}
+
+absl::StatusOr<std::vector<StoreItem>>
+FeedReplica::Take(const FeedChanges& aChanges)
+{
+  std::vector<StoreItem> items;
+  for (const FeedChange& change : aChanges.m_changes) {
+    absl::StatusOr<StoreItem> item = ItemOf(change);
+    if (!item.ok()) {
+      return item.status();
+    }
+    items.push_back(std::move(*item));
+  }
+  m_changedRevision = std::max(m_changedRevision, aChanges.m_changedRevision);
+  return aChanges.m_isWhole
+           ? TakeList(std::move(items), aChanges.m_revision)
+           : TakeChanges(std::move(items), aChanges.m_revision);
+}
+
+absl::StatusOr<StoreItem>
+FeedReplica::ItemOf(const FeedChange& aChange) const
+{
+  StoreItem item{ aChange.m_key, {}, aChange.m_revision, false };
+  switch (aChange.m_kind) {
+    case FeedChange::Kind::kValue:
+      item.m_value = aChange.m_bytes;
+      return item;
+    case FeedChange::Kind::kRemoved:
+      item.m_isRemoved = true;
+      return item;
+    case FeedChange::Kind::kSame:
+    case FeedChange::Kind::kDelta:
+      break;
+  }
+  const auto known = m_items.find(aChange.m_key);
+  if (known == m_items.end()) {
+    return absl::FailedPreconditionError(
+      Cat("feed: no version of ", aChange.m_key, " is known"));
+  }
+  if (aChange.m_kind == FeedChange::Kind::kSame) {
+    return known->second.back();
+  }
+  for (const StoreItem& version : known->second) {
+    if (version.m_revision == aChange.m_baseRevision) {
+      auto value = ApplyDelta(version.m_value, aChange.m_bytes);
+      if (!value.ok()) {
+        return value.status();
+      }
+      item.m_value = std::move(*value);
+      return item;
+    }
+  }
+  return absl::FailedPreconditionError(Cat("feed: ",
+                                           aChange.m_key,
+                                           " at revision ",
+                                           aChange.m_baseRevision,
+                                           " is not at hand"));
+}
+
+void
+FeedReplica::AddMissing(std::vector<StoreItem>& aItems,
+                        std::uint64_t aRevision) const
+{
+  std::set<std::string> listed;
+  for (const StoreItem& item : aItems) {
+    listed.insert(item.m_key);
+  }
+  for (const auto& [key, versions] : m_items) {
+    if (!listed.contains(key) && versions.back().m_revision <= aRevision) {
+      aItems.push_back({ key, {}, aRevision, true });
+    }
+  }
+}
+
+std::vector<StoreItem>
+FeedReplica::KeepNews(std::vector<StoreItem> aItems, std::uint64_t aRevision)
+{
+  std::erase_if(aItems,
+                [this](const StoreItem& aItem) { return !Keep(aItem); });
+  m_revision = std::max(m_revision, aRevision);
+  return aItems;
+}
+
+bool
+FeedReplica::Keep(const StoreItem& aItem)
+{
+  const auto known = m_items.find(aItem.m_key);
+  if (known == m_items.end()
+        ? aItem.m_isRemoved
+        : known->second.back().m_revision >=
+            aItem.m_revision + (aItem.m_isRemoved ? 1 : 0)) {
+    return false;
+  }
+  m_changedRevision = std::max(m_changedRevision, aItem.m_revision);
+  if (aItem.m_isRemoved) {
+    m_items.erase(known);
+    m_removals.push_back(aItem);
+    if (m_removals.size() > m_options.m_removalsKept) {
+      m_completeSince =
+        std::max(m_completeSince, m_removals.front().m_revision);
+      m_removals.pop_front();
+    }
+    return true;
+  }
+  Versions& versions = m_items[aItem.m_key];
+  versions.push_back(aItem);
+  while (versions.size() > 1 &&
+         (versions.size() > m_options.m_versionsKept + 1 ||
+          versions.front().m_value.size() < m_options.m_largeBytes)) {
+    versions.pop_front();
+  }
+  return true;
+}
+
+std::vector<std::uint64_t>
+FeedReplica::Bases() const
+{
+  std::vector<std::uint64_t> bases;
+  for (const auto& [key, versions] : m_items) {
+    for (const StoreItem& version : versions) {
+      if (version.m_value.size() >= m_options.m_largeBytes) {
+        bases.push_back(version.m_revision);
+      }
+    }
+  }
+  return bases;
+}
+
+FeedChanges
+FeedReplica::Since(std::uint64_t aKnown,
+                   const std::vector<std::uint64_t>& aBases) const
+{
+  FeedChanges changes;
+  changes.m_revision = m_revision;
+  changes.m_changedRevision = m_changedRevision;
+  changes.m_isWhole = aKnown < m_completeSince || aKnown == 0;
+  for (const auto& [key, versions] : m_items) {
+    if (changes.m_isWhole || versions.back().m_revision > aKnown) {
+      changes.m_changes.push_back(ChangeOf(versions, aKnown, aBases));
+    }
+  }
+  if (changes.m_isWhole) {
+    return changes;
+  }
+  for (const StoreItem& removal : m_removals) {
+    if (removal.m_revision > aKnown && !m_items.contains(removal.m_key)) {
+      changes.m_changes.push_back({ removal.m_key,
+                                    FeedChange::Kind::kRemoved,
+                                    removal.m_revision,
+                                    0,
+                                    {} });
+    }
+  }
+  return changes;
+}
+
+FeedChange
+FeedReplica::ChangeOf(const Versions& aVersions,
+                      std::uint64_t aKnown,
+                      const std::vector<std::uint64_t>& aBases) const
+{
+  const StoreItem& newest = aVersions.back();
+  FeedChange change{
+    newest.m_key, FeedChange::Kind::kValue, newest.m_revision, 0, {}
+  };
+  if (newest.m_revision <= aKnown) {
+    change.m_kind = FeedChange::Kind::kSame;
+    return change;
+  }
+  const auto base = std::find_if(
+    std::next(aVersions.rbegin()),
+    aVersions.rend(),
+    [&aBases](const StoreItem& aVersion) {
+      return std::find(aBases.begin(), aBases.end(), aVersion.m_revision) !=
+             aBases.end();
+    });
+  if (newest.m_value.size() >= m_options.m_largeBytes &&
+      base != aVersions.rend()) {
+    change.m_kind = FeedChange::Kind::kDelta;
+    change.m_baseRevision = base->m_revision;
+    change.m_bytes = MakeDelta(base->m_value, newest.m_value);
+  } else {
+    change.m_bytes = newest.m_value;
+  }
+  return change;
+}
+
+} // namespace bergamotpaddle
--- /dev/null
+++ b/lib/Gateway/FeedSource.cpp
@@ -0,0 +1,123 @@
+#include "bergamotpaddle/Gateway/FeedSource.h"
+
+#include "bergamotpaddle/Support/Hash.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace bergamotpaddle {
+
+namespace {
+
+/// Ranks routers of equal links in the same order everywhere.
+std::uint64_t
+ReaderWeight(const std::string& aAddress)
+{
+  return RendezvousWeight("reader", aAddress);
+}
+
+} // namespace
+
+FeedSource::FeedSource(std::string aSelf,
+                       double aLinkMbps,
+                       std::string aZone,
+                       FeedSourceOptions aOptions)
+  : m_self(std::move(aSelf))
+  , m_linkMbps(aLinkMbps)
+  , m_zone(std::move(aZone))
+  , m_options(aOptions)
+{
+}
+
+void
+FeedSource::NoteSign(const std::string& aAddress, FeedSign aSign, Instant aNow)
+{
+  std::erase_if(
+    m_peers, [&](const auto& aEntry) { return !IsHeard(aEntry.second, aNow); });
+  Peer& peer = m_peers[aAddress];
+  if (peer.m_sign.m_changed != aSign.m_changed) {
+    peer.m_changedAt = aNow;
+  }
+  peer.m_sign = std::move(aSign);
+  peer.m_heardAt = aNow;
+}
+
+void
+FeedSource::NoteFailure(const std::string& aAddress, Instant aNow)
+{
+  const auto peer = m_peers.find(aAddress);
+  if (peer != m_peers.end()) {
+    peer->second.m_failedAt = aNow;
+  }
+}
+
+bool
+FeedSource::IsHeard(const Peer& aPeer, Instant aNow) const
+{
+  return aNow - aPeer.m_heardAt < m_options.m_silence;
+}
+
+bool
+FeedSource::IsTrusted(const Peer& aPeer, Instant aNow) const
+{
+  return IsHeard(aPeer, aNow) &&
+         (aPeer.m_failedAt == Instant::min() ||
+          aNow - aPeer.m_failedAt >= m_options.m_failureMemory);
+}
+
+bool
+FeedSource::IsBefore(const std::string& aAddress, const Peer& aPeer) const
+{
+  return std::tuple(aPeer.m_sign.m_linkMbps, ReaderWeight(aAddress)) >
+         std::tuple(m_linkMbps, ReaderWeight(m_self));
+}
+
+bool
+FeedSource::ReadsStore(Instant aNow) const
+{
+  const auto before = static_cast<std::size_t>(
+    std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
+      return IsHeard(aEntry.second, aNow) &&
+             IsBefore(aEntry.first, aEntry.second);
+    }));
+  return before < m_options.m_readers || !ToFollow(aNow);
+}
+
+std::optional<std::string>
+FeedSource::ToFollow(Instant aNow) const
+{
+  std::optional<std::string> best;
+  std::tuple<bool, std::uint64_t> bestRank;
+  for (const auto& [address, peer] : m_peers) {
+    const bool isUpToDate =
+      peer.m_sign.m_age &&
+      *peer.m_sign.m_age + (aNow - peer.m_heardAt) <= m_options.m_oldestCopy;
+    const std::tuple rank(peer.m_sign.m_zone == m_zone,
+                          RendezvousWeight(m_self, address));
+    if (isUpToDate && IsTrusted(peer, aNow) && (!best || rank > bestRank)) {
+      best = address;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+std::optional<std::string>
+FeedSource::Ahead(const std::vector<std::uint64_t>& aChanged,
+                  Instant aNow) const
+{
+  for (const auto& [address, peer] : m_peers) {
+    const std::vector<std::uint64_t>& told = peer.m_sign.m_changed;
+    bool isAhead = false;
+    for (std::size_t i = 0; i < std::min(told.size(), aChanged.size()); ++i) {
+      isAhead = isAhead || told[i] > aChanged[i];
+    }
+    if (isAhead && IsTrusted(peer, aNow) &&
+        aNow - peer.m_changedAt >= m_options.m_patience) {
+      return address;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace bergamotpaddle
--- a/lib/Gateway/PeerDigest.cpp
+++ b/lib/Gateway/PeerDigest.cpp
@@ -24,6 +24,32 @@
   return Pack(*this).size();
 }
 
+FeedSign
+PeerDigest::Sign() const
+{
+  FeedSign sign;
+  sign.m_linkMbps = m_linkMbps;
+  sign.m_zone = m_zone;
+  if (m_feedAgeMs >= 0) {
+    sign.m_age = std::chrono::milliseconds(m_feedAgeMs);
+  }
+  sign.m_changed = m_feedsChanged;
+  return sign;
+}
+
+void
+PeerDigest::SetSign(const FeedSign& aSign)
+{
+  m_linkMbps = aSign.m_linkMbps;
+  m_zone = aSign.m_zone;
+  m_feedAgeMs =
+    aSign.m_age
+      ? std::chrono::duration_cast<std::chrono::milliseconds>(*aSign.m_age)
+          .count()
+      : -1;
+  m_feedsChanged = aSign.m_changed;
+}
+
 std::string
 PeerDigest::Encode() const
 {
--- a/test/platform_stand_in.py
+++ b/test/platform_stand_in.py
@@ -156,13 +156,13 @@
     def put(self, key, document):
         return self.call(self.store.put(key, json.dumps(document)))
 
-    def start_gateway(self, number, link_mbps, store_port=None):
+    def start_gateway(self, number, link_mbps, store_port=None, first_peers=()):
         """Starts one on an address of its own; ports are the same on all."""
         ip = f"127.0.0.{number}"
         settings = {
             "node": f"front-{number}", "zone": "z", "ip": ip,
             "listen": {"front": f"{ip}:{self.callers}", "ready": f"{ip}:{self.ready}"},
-            "portRange": [self.peers, self.peers], "seeds": [],
+            "portRange": [self.peers, self.peers], "seeds": [f"{peer}:1" for peer in first_peers],
             "limits": {"linkMbps": link_mbps},
             "bounds": {"configMs": 3000},
             "provider": {"addr": f"127.0.0.1:{store_port or self.store_port}"},
--- a/test/test_late_configuration.py
+++ b/test/test_late_configuration.py
@@ -9,6 +9,7 @@
 IDLE_LINK_BYTES = 1_250_000
 # What one connection got of the same link, 10 Mbit/s, while callers filled it.
 BUSY_LINK_BYTES = 100_000
+CLOSED_PORT = 1
 # There are no upstreams: what a gateway answers once it knows a route.
 KNOWN = "no_upstream"
 
@@ -46,6 +47,15 @@
                     self.assertLess(time.monotonic() - confirmed, BOUND_SECONDS, f"version {version} at {ip}")
                     time.sleep(0.02)
 
+    def test_gateway_that_starts_without_store_learns_configuration_from_another(self):
+        platform = Platform()
+        self.addCleanup(platform.close)
+        platform.put(CONFIG_KEY, document(1))
+        other = platform.start_gateway(2, 200)
+        platform.wait_until(lambda: platform.refusal(other, "/added-1/") == KNOWN, 30)
+        started = platform.start_gateway(3, 200, CLOSED_PORT, [other])
+        platform.wait_until(lambda: platform.refusal(started, "/added-1/") == KNOWN, 10)
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/unittests/Gateway/DocumentDeltaTest.cpp
@@ -0,0 +1,82 @@
+/// \file
+/// Differences between versions of a document: fuzzed against the documents
+/// themselves, and kept small.
+#include "bergamotpaddle/Gateway/DocumentDelta.h"
+#include "bergamotpaddle/Support/Text.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace bergamotpaddle;
+
+namespace {
+
+std::string
+Routes(int aCount, int aVersion, int aMoved)
+{
+  std::string text = Cat(R"({"version":)", aVersion, R"(,"routes":[)");
+  for (int i = 0; i < aCount; ++i) {
+    const int service = i == aMoved ? aVersion : 0;
+    Append(text,
+           i == 0 ? "" : ",",
+           R"({"name":"r-)",
+           i,
+           R"(","host":"desk.example","pathPrefix":"/p)",
+           i,
+           R"(/","service":"s)",
+           service,
+           R"("})");
+  }
+  return text + "]}";
+}
+
+} // namespace
+
+TEST_CASE("the difference between two versions of a document", "[delta]")
+{
+  const std::string before = Routes(3000, 7, -1);
+
+  SECTION("has the size of the change, not of the document")
+  {
+    constexpr std::size_t kOnePacket = 1400;
+    for (const int moved : { 0, 1500, 2999 }) {
+      const std::string after = Routes(3000, 8, moved);
+      const std::string delta = MakeDelta(before, after);
+      CHECK(delta.size() < kOnePacket);
+      CHECK(ApplyDelta(before, delta).value() == after);
+    }
+    const std::string grown = Routes(3001, 8, 5);
+    CHECK(MakeDelta(before, grown).size() < kOnePacket);
+    CHECK(MakeDelta(grown, before).size() < kOnePacket);
+  }
+
+  SECTION("is refused on another base, and when it is damaged")
+  {
+    std::string delta = MakeDelta(before, Routes(3000, 8, 3));
+    CHECK_FALSE(ApplyDelta(Routes(3000, 6, 3), delta).ok());
+    CHECK_FALSE(ApplyDelta(before, delta.substr(0, delta.size() / 2)).ok());
+    CHECK_FALSE(ApplyDelta(before, "").ok());
+    delta[delta.size() - 3] ^= 1;
+    CHECK_FALSE(ApplyDelta(before, delta).ok());
+  }
+}
+
+TEST_CASE("differences of any documents lead to their target", "[delta][fuzz]")
+{
+  rc::prop("what is applied to the base is the target", [] {
+    // Few letters and the end of an entry: many entries are alike.
+    const auto document = rc::gen::container<std::string>(
+      rc::gen::elementOf(std::string("ab}{\n\0", 6)));
+    const std::string base = *document;
+    const std::string target = *document;
+    const auto result = ApplyDelta(base, MakeDelta(base, target));
+    RC_ASSERT(result.ok());
+    RC_ASSERT(*result == target);
+  });
+
+  rc::prop("any bytes are refused or lead to a document", [] {
+    const auto base = *rc::gen::arbitrary<std::string>();
+    const auto bytes = *rc::gen::arbitrary<std::string>();
+    (void)ApplyDelta(base, bytes);
+  });
+}
--- /dev/null
+++ b/unittests/Gateway/FeedReplicaTest.cpp
@@ -0,0 +1,285 @@
+/// \file
+/// Copies of the store's items that follow one another: by example, and fuzzed
+/// against a plain map.
+#include "bergamotpaddle/Gateway/FeedFrames.h"
+#include "bergamotpaddle/Support/Text.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace bergamotpaddle;
+
+namespace {
+
+/// The store as an oracle: a map, and each change in order.
+class PlainStore
+{
+public:
+  void Put(const std::string& aKey, const std::string& aValue)
+  {
+    m_items[aKey] = { aKey, aValue, ++m_revision, false };
+    m_history.push_back(m_items[aKey]);
+  }
+  void Remove(const std::string& aKey)
+  {
+    if (m_items.erase(aKey) > 0) {
+      m_history.push_back({ aKey, {}, ++m_revision, true });
+    }
+  }
+  std::vector<StoreItem> List() const
+  {
+    std::vector<StoreItem> items;
+    for (const auto& [key, item] : m_items) {
+      items.push_back(item);
+    }
+    return items;
+  }
+  std::vector<StoreItem> After(std::uint64_t aRevision) const
+  {
+    std::vector<StoreItem> items;
+    for (const StoreItem& item : m_history) {
+      if (item.m_revision > aRevision) {
+        items.push_back(item);
+      }
+    }
+    return items;
+  }
+
+  std::uint64_t m_revision = 1;
+  std::map<std::string, StoreItem> m_items;
+
+private:
+  std::vector<StoreItem> m_history;
+};
+
+/// A copy, and what its router was told.
+struct Follower
+{
+  FeedReplica m_replica;
+  std::map<std::string, StoreItem> m_told;
+  bool m_isWholeDue = false;
+
+  explicit Follower(FeedReplicaOptions aOptions = {})
+    : m_replica(aOptions)
+  {
+  }
+
+  void Note(const std::vector<StoreItem>& aNews)
+  {
+    for (const StoreItem& item : aNews) {
+      if (item.m_isRemoved) {
+        m_told.erase(item.m_key);
+      } else {
+        m_told[item.m_key] = item;
+      }
+    }
+  }
+  void List(const PlainStore& aStore)
+  {
+    Note(m_replica.TakeList(aStore.List(), aStore.m_revision));
+  }
+  void Watch(const PlainStore& aStore)
+  {
+    Note(m_replica.TakeChanges(aStore.After(m_replica.Revision()),
+                               aStore.m_revision));
+  }
+  FeedChanges Ask(const Follower& aOther)
+  {
+    const FeedChanges changes =
+      m_isWholeDue
+        ? aOther.m_replica.Since(0, {})
+        : aOther.m_replica.Since(m_replica.Revision(), m_replica.Bases());
+    const auto news = m_replica.Take(changes);
+    m_isWholeDue = !news.ok();
+    if (news.ok()) {
+      Note(*news);
+    }
+    return changes;
+  }
+};
+
+std::size_t
+BytesOf(const FeedChanges& aChanges)
+{
+  std::size_t bytes = 0;
+  for (const FeedChange& change : aChanges.m_changes) {
+    bytes += change.m_bytes.size();
+  }
+  return bytes;
+}
+
+std::string
+Document(int aVersion)
+{
+  std::string text;
+  for (int i = 0; i < 2000; ++i) {
+    Append(text, "{entry ", i, i == 1000 ? aVersion : 0, "}");
+  }
+  return text;
+}
+
+} // namespace
+
+TEST_CASE("a router that follows another's copy", "[feed]")
+{
+  PlainStore store;
+  store.Put("config", Document(1));
+  store.Put("u1", "ready");
+  store.Put("u2", "ready");
+  Follower reader;
+  reader.List(store);
+  Follower follower;
+
+  SECTION("starts with all there is")
+  {
+    follower.Ask(reader);
+    CHECK(follower.m_told == store.m_items);
+
+    SECTION("and is then sent what changed alone")
+    {
+      CHECK(BytesOf(follower.Ask(reader)) == 0);
+      store.Put("config", Document(2));
+      store.Put("u2", "draining");
+      store.Remove("u1");
+      reader.Watch(store);
+      constexpr std::size_t kOnePacket = 1400;
+      CHECK(BytesOf(follower.Ask(reader)) < kOnePacket);
+      CHECK(follower.m_told == store.m_items);
+    }
+
+    SECTION("and misses a version that its reader skipped")
+    {
+      store.Put("config", Document(2));
+      Follower other;
+      other.List(store);
+      follower.Ask(other);
+      store.Put("config", Document(3));
+      reader.Watch(store);
+      follower.Ask(reader);
+      follower.Ask(reader); // Whole if the first difference had no base.
+      CHECK(follower.m_told == store.m_items);
+    }
+
+    SECTION("and never goes back, whoever it asks")
+    {
+      Follower late;
+      late.List(store);
+      store.Put("config", Document(2));
+      store.Remove("u1");
+      store.Put("u3", "ready");
+      reader.Watch(store);
+      follower.Ask(reader);
+      follower.Ask(late);
+      CHECK(follower.m_told == store.m_items);
+    }
+
+    SECTION("nor by a list that was asked for earlier")
+    {
+      const std::vector<StoreItem> list = store.List();
+      const std::uint64_t revision = store.m_revision;
+      store.Remove("u1");
+      reader.Watch(store);
+      follower.Ask(reader);
+      CHECK(follower.m_replica.TakeList(list, revision).empty());
+    }
+
+    SECTION("and learns of a removal through a reader that only listed")
+    {
+      store.Remove("u1");
+      reader.List(store);
+      follower.Ask(reader);
+      CHECK(follower.m_told == store.m_items);
+      CHECK(follower.m_replica.ChangedRevision() ==
+            reader.m_replica.ChangedRevision());
+    }
+  }
+}
+
+TEST_CASE("copies that follow one another agree with the store", "[feed][fuzz]")
+{
+  rc::prop("whatever changes and whoever is asked", [] {
+    FeedReplicaOptions small;
+    small.m_largeBytes = 8;
+    small.m_versionsKept = 2;
+    small.m_removalsKept = 2;
+    PlainStore store;
+    std::vector<Follower> routers(4, Follower(small));
+    const auto index = rc::gen::inRange<std::size_t>(0, routers.size());
+    const int steps = *rc::gen::inRange(1, 60);
+    for (int i = 0; i < steps; ++i) {
+      const std::string key = Cat("k", *rc::gen::inRange(0, 4));
+      switch (*rc::gen::inRange(0, 6)) {
+        case 0:
+        case 1:
+          store.Put(key,
+                    *rc::gen::container<std::string>(
+                      rc::gen::elementOf(std::string("ab}"))));
+          break;
+        case 2:
+          store.Remove(key);
+          break;
+        case 3:
+          routers[*index].List(store);
+          break;
+        case 4: {
+          // A watch needs a revision to go on from.
+          Follower& router = routers[*index];
+          router.m_replica.Revision() == 0 ? router.List(store)
+                                           : router.Watch(store);
+          break;
+        }
+        default: {
+          Follower& asking = routers[*index];
+          const Follower& asked = routers[*index];
+          const std::uint64_t before = asking.m_replica.Revision();
+          if (&asking != &asked && asked.m_replica.Revision() != 0) {
+            asking.Ask(asked);
+          }
+          RC_ASSERT(asking.m_replica.Revision() >= before);
+        }
+      }
+      for (const Follower& router : routers) {
+        for (const auto& [toldKey, item] : router.m_told) {
+          RC_ASSERT(item.m_revision <= store.m_revision);
+        }
+      }
+    }
+    routers[0].List(store);
+    for (std::size_t i = 1; i < routers.size(); ++i) {
+      routers[i].Ask(routers[0]);
+      routers[i].Ask(routers[0]); // Whole if a base was missing.
+      RC_ASSERT(routers[i].m_told == store.m_items);
+    }
+    RC_ASSERT(routers[0].m_told == store.m_items);
+  });
+}
+
+TEST_CASE("frames of the feed", "[feed]")
+{
+  FeedRequest request;
+  request.m_waitMs = 800;
+  request.m_queries = { { "servers/", 17, { 3, 9 } } };
+  CHECK(FeedRequest::Decode(request.Encode()).value() == request);
+  FeedAnswer answer;
+  answer.m_parts = {
+    { "servers/",
+      12,
+      { 20,
+        19,
+        false,
+        { { "servers/1", FeedChange::Kind::kDelta, 19, 3, "bytes" } } } }
+  };
+  CHECK(FeedAnswer::Decode(answer.Encode()).value() == answer);
+
+  SECTION("of another layout or damaged are refused")
+  {
+    request.m_layout = FeedRequest::kLayout + 1;
+    CHECK_FALSE(FeedRequest::Decode(request.Encode()).ok());
+    CHECK_FALSE(FeedAnswer::Decode("").ok());
+    rc::prop("whatever the bytes", [] {
+      const auto bytes = *rc::gen::arbitrary<std::string>();
+      (void)FeedAnswer::Decode(bytes);
+      (void)FeedRequest::Decode(bytes);
+    });
+  }
+}
--- a/unittests/Platform/PlatformWatchTest.cpp
+++ b/unittests/Platform/PlatformWatchTest.cpp
@@ -154,7 +154,7 @@
   store.PutVersion(1, 100);
   store.PutUpstream("u1", "ready");
   store.PutUpstream("u2", "ready");
-  watch.Start();
+  watch.Start([] { return true; });
   const auto runUntil = [&io](milliseconds aMost, const auto& aIsDone) {
     const auto end = std::chrono::steady_clock::now() + aMost;
     while (!aIsDone() && std::chrono::steady_clock::now() < end) {
--- a/unittests/Platform/StoreClientTest.cpp
+++ b/unittests/Platform/StoreClientTest.cpp
@@ -8,6 +8,17 @@
 using namespace bergamotpaddle;
 using namespace bergamotpaddle::platform;
 
+namespace {
+
+/// A router that answers no call of its own.
+asio::awaitable<std::optional<std::string>>
+NoPage()
+{
+  co_return std::nullopt;
+}
+
+} // namespace
+
 TEST_CASE("the client of the platform's store", "[store]")
 {
   asio::io_context io(1);
@@ -131,12 +142,10 @@
     const std::string relayAddress =
       "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
     probe.close();
-    REQUIRE(relay
-              .Start(relayAddress,
-                     [](const std::string&, const std::string&) {
-                       return std::optional<std::string>();
-                     })
-              .ok());
+    REQUIRE(
+      relay
+        .Start(relayAddress, [](std::string, std::string) { return NoPage(); })
+        .ok());
     StoreStandIn refusing(io, [](const std::string&, const std::string&) {
       return StoreStandIn::Reply{ 503, "" };
     });
