A single version is read once: the next watch follows at once, rests and lists are for storms

What callers saw: late versions (CONFIG) at routers that read the store over a small link. Cause: after a large change the watch rested 0.5 s and then listed, which brought the same version a second time. Change: WatchPace keeps account of what was taken: the call after a single change goes out at once (it waits at the store, where it costs nothing), changes that come faster than their bytes are worth are rested for, and only then the newest state is listed. Why it works: a list is sent only where a newer version is likely; the rate in a storm is as before, plus one document. Test: PlatformWatchTest "is sent a single large version once" failed before (800,311 bytes against 420,000), passes now; "keeps a storm of versions from filling a small link" keeps its bound.

--- a/include/bergamotpaddle/Gateway/WatchPace.h
+++ b/include/bergamotpaddle/Gateway/WatchPace.h
@@ -1,11 +1,12 @@
 /// \file
 /// How a watcher of the platform's store follows a storm of changes.
 ///
-/// Load pattern: versions of a large document in quick succession, to every
-/// router at once. A watch that asks again at once is sent each version whole,
-/// so the bytes grow with changes times size and fill a small link. A watcher
-/// rests after each change as long as its bytes are worth, and after a large
-/// one asks for the newest state rather than for each change since.
+/// Load pattern: versions of a large document in quick succession. A watch that
+/// asks again at once is sent each version whole, so the bytes grow with
+/// changes times size and fill a small link. A single change is followed by the
+/// next watch at once, which costs nothing while nothing changes; changes that
+/// come faster than their bytes are worth are rested for, and what is large is
+/// then asked for in its newest state alone.
 #pragma once
 
 #include "bergamotpaddle/Support/Time.h"
@@ -25,17 +26,28 @@
   Duration m_longestRest = std::chrono::milliseconds(500);
 };
 
-/// What a watch does after it took changes.
-struct WatchRest
+/// The pace of one watch. Free of I/O.
+class WatchPace
 {
-  Duration m_rest{ 0 }; ///< Before the next call.
-  /// So large that the changes meanwhile are not worth to be sent one by one.
+public:
+  explicit WatchPace(WatchPaceOptions aOptions = {});
+
+  /// Changes of \p aBytes were taken.
+  void NoteChanges(std::size_t aBytes, Instant aNow);
+
+  /// Before this nothing more is asked for.
+  Instant NextAt() const { return m_paidUntil - m_lastRest; }
+
+  /// Whether the changes before the next call are not worth to be sent one by
+  /// one: they are rested for, and the last ones were large.
+  bool IsStorm(Instant aNow) const { return m_isLarge && NextAt() > aNow; }
+
+private:
+  WatchPaceOptions m_options;
+  /// The rate allows what was taken by then.
+  Instant m_paidUntil{};
+  Duration m_lastRest{ 0 };
   bool m_isLarge = false;
-  auto operator<=>(const WatchRest&) const = default;
 };
 
-/// The rest after changes of \p aBytes.
-WatchRest
-RestAfterChanges(std::size_t aBytes, const WatchPaceOptions& aOptions = {});
-
 } // namespace bergamotpaddle
--- a/unittests/Platform/PlatformWatchTest.cpp
+++ b/unittests/Platform/PlatformWatchTest.cpp
@@ -231,6 +231,19 @@
     }
   }
 
+  // The list after a rest once brought each version a second time.
+  SECTION("is sent a single large version once")
+  {
+    constexpr std::size_t kDocument = 300'000;
+    io.run_for(milliseconds(500)); // The first version is not recent any more.
+    const std::uint64_t before = store.m_sentBytes;
+    store.PutVersion(2, kDocument);
+    REQUIRE(runUntil(kBoundOfChanges, [&] { return version() == 2; }));
+    io.run_for(milliseconds(1'000));
+    constexpr double kOneDocument = kDocument * 1.4;
+    CHECK(static_cast<double>(store.m_sentBytes - before) <= kOneDocument);
+  }
+
   // Each router once took each version whole, 360 KB/s of a 10 Mbit/s link.
   SECTION("keeps a storm of versions from filling a small link")
   {
