--- a/unittests/Platform/StoreClientTest.cpp
+++ b/unittests/Platform/StoreClientTest.cpp
@@ -17,6 +17,12 @@
   co_return std::nullopt;
 }
 
+asio::awaitable<std::optional<std::string>>
+Page()
+{
+  co_return "page";
+}
+
 } // namespace
 
 TEST_CASE("the client of the platform's store", "[store]")
@@ -163,4 +169,35 @@
       CHECK(refusing.Calls() == 1);
     }
   }
+
+  // On a full link each new connection cost a round trip of a second.
+  SECTION("keeps the connection to a router from one call to the next")
+  {
+    StoreRelay relay(io, client);
+    asio::ip::tcp::acceptor probe(io,
+                                  { asio::ip::make_address("127.0.0.1"), 0 });
+    const std::string router =
+      "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+    probe.close();
+    REQUIRE(relay.Start(router, [](std::string, std::string) { return Page(); })
+              .ok());
+    KeptConnection kept;
+    const auto call = [&] {
+      return Await(
+        io, client.CallPeer(kept, router, "/page", "{}", kStoreCallTimeout));
+    };
+    REQUIRE(call().value() == "page");
+    const auto own = kept.m_stream->socket().local_endpoint();
+    CHECK(call().value() == "page");
+    CHECK(kept.m_stream->socket().local_endpoint() == own);
+
+    SECTION("and makes another after that one broke")
+    {
+      boost::system::error_code ignored;
+      kept.m_stream->socket().shutdown(asio::ip::tcp::socket::shutdown_both,
+                                       ignored);
+      CHECK_FALSE(call().ok());
+      CHECK(call().value() == "page");
+    }
+  }
 }
