A router whose configuration is in doubt says 503, not 404, 401 or 402

What callers saw: 404 for routes that were in force elsewhere (CONFIG), from routers that had heard nothing of the store for up to 13 s. Cause: a router goes on as if its beliefs were new, however old they are. Change: once the store has not confirmed the configuration for as long as a change may take (a setting of the deployment), or a peer has told of a newer one, what the configuration does not know is refused with 503 and Retry-After; the same for a budget that a newer version may have raised. Why it works: such a refusal is true, nothing has run; callers come back to this router or another. Test: test_late_configuration.py "gateway that hears nothing says so" failed before ('unknown_route' for 'not_configured'); ForwardingTest for the refusals.

--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -128,6 +128,10 @@
   /// Asks for a draw of credit at once; false if the platform is out of reach
   /// and none will come.
   std::function<bool()> m_drawCredit = [] { return false; };
+  /// Whether a newer configuration may have to be in force already: a peer told
+  /// of one, or the store has not confirmed ours for as long as a change may
+  /// take.
+  std::function<bool()> m_isConfigurationInDoubt = [] { return false; };
   /// Called when our load on an upstream changes, with the prompt parts that
   /// were sent there, so that peers can be told.
   std::function<void(const UpstreamId&, const std::vector<PromptPart>&)>
--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -45,6 +45,8 @@
   /// Route, key and credit; an answer of our own ends the request.
   std::optional<OwnAnswer> Admit();
   std::optional<OwnAnswer> CheckCaller();
+  /// The refusal of what only a newer configuration may know.
+  OwnAnswer UnknownYet(const char* aWhat) const;
   Awaitable<std::optional<OwnAnswer>> AllotCredit();
   /// Waits a moment for the next draw of credit.
   Awaitable<CreditVerdict> AwaitCredit(std::uint64_t aMost);
--- a/include/bergamotpaddle/Gateway/FeedSource.h
+++ b/include/bergamotpaddle/Gateway/FeedSource.h
@@ -77,6 +77,9 @@
   std::optional<std::string> Ahead(const std::vector<std::uint64_t>& aChanged,
                                    Instant aNow) const;
 
+  /// Whether any router has told of a change of \p aFeed beyond \p aChanged.
+  bool IsBehind(std::size_t aFeed, std::uint64_t aChanged, Instant aNow) const;
+
 private:
   struct Peer
   {
--- a/lib/Forwarding/RequestAdmission.cpp
+++ b/lib/Forwarding/RequestAdmission.cpp
@@ -2,6 +2,7 @@
 #include "bergamotpaddle/Forwarding/RequestRun.h"
 
 #include "bergamotpaddle/Support/Hash.h"
+#include "bergamotpaddle/Support/Text.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -61,11 +62,23 @@
   return std::nullopt;
 }
 
+OwnAnswer
+RequestRun::UnknownYet(const char* aWhat) const
+{
+  return { 503,
+           ResultCode::kNotConfigured,
+           Cat(aWhat, "; a newer configuration may be in force elsewhere"),
+           m_state->m_options.m_retrySoon };
+}
+
 std::optional<OwnAnswer>
 RequestRun::CheckCaller()
 {
   m_route = m_table->Match(m_request.m_host, m_target);
   if (m_route == nullptr) {
+    if (m_state->m_isConfigurationInDoubt()) {
+      return UnknownYet("no route matches");
+    }
     return OwnAnswer{ 404, ResultCode::kUnknownRoute, "no route matches", {} };
   }
   if (m_request.m_attemptId.empty()) {
@@ -78,6 +91,9 @@
     m_account = m_table->AccountOfKey(*m_request.m_apiKey);
   }
   if (m_account == nullptr && m_table->AsksForKeys() && !m_route->m_isPublic) {
+    if (m_state->m_isConfigurationInDoubt()) {
+      return UnknownYet("the API key is not known");
+    }
     return OwnAnswer{
       401, ResultCode::kUnauthorized, "the API key is not known", {}
     };
@@ -104,6 +120,9 @@
       m_allotted = most;
       co_return std::nullopt;
     case CreditVerdict::kExhausted:
+      if (m_state->m_isConfigurationInDoubt()) {
+        co_return UnknownYet("the budget does not cover the request");
+      }
       co_return OwnAnswer{ 402,
                            ResultCode::kBudgetExhausted,
                            "the budget does not cover the request",
--- a/lib/Gateway/FeedSource.cpp
+++ b/lib/Gateway/FeedSource.cpp
@@ -120,4 +120,16 @@
   return std::nullopt;
 }
 
+bool
+FeedSource::IsBehind(std::size_t aFeed,
+                     std::uint64_t aChanged,
+                     Instant aNow) const
+{
+  return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
+    const Peer& peer = aEntry.second;
+    return IsHeard(peer, aNow) && aFeed < peer.m_sign.m_changed.size() &&
+           peer.m_sign.m_changed[aFeed] > aChanged;
+  });
+}
+
 } // namespace bergamotpaddle
--- a/test/test_late_configuration.py
+++ b/test/test_late_configuration.py
@@ -9,6 +9,7 @@
 IDLE_LINK_BYTES = 1_250_000
 # What one connection got of the same link, 10 Mbit/s, while callers filled it.
 BUSY_LINK_BYTES = 100_000
+SILENT_LINK_BYTES = 1
 CLOSED_PORT = 1
 # There are no upstreams: what a gateway answers once it knows a route.
 KNOWN = "no_upstream"
@@ -47,6 +48,21 @@
                     self.assertLess(time.monotonic() - confirmed, BOUND_SECONDS, f"version {version} at {ip}")
                     time.sleep(0.02)
 
+    # It once answered 404 for routes of versions that it could not have heard of.
+    def test_gateway_that_hears_nothing_says_so(self):
+        platform = Platform()
+        self.addCleanup(platform.close)
+        platform.put(CONFIG_KEY, document(1))
+        link = platform.link_to_store(IDLE_LINK_BYTES)
+        alone = platform.start_gateway(2, 10, link.port)
+        platform.wait_until(lambda: platform.refusal(alone, "/added-1/") == KNOWN, 30)
+        self.assertEqual(platform.refusal(alone, "/added-2/"), "unknown_route")
+        link.bytes_per_second = SILENT_LINK_BYTES
+        platform.put(CONFIG_KEY, document(2))
+        time.sleep(BOUND_SECONDS + 0.5)
+        self.assertEqual(platform.refusal(alone, "/added-2/"), "not_configured")
+        self.assertEqual(platform.refusal(alone, "/added-1/"), KNOWN)
+
     def test_gateway_that_starts_without_store_learns_configuration_from_another(self):
         platform = Platform()
         self.addCleanup(platform.close)
--- a/unittests/Gateway/FeedSourceTest.cpp
+++ b/unittests/Gateway/FeedSourceTest.cpp
@@ -102,6 +102,9 @@
       now += options.m_patience;
       CHECK(follower.Ahead({ 5, 1 }, now) == Address(21));
       CHECK_FALSE(follower.Ahead({ 9, 1 }, now));
+      CHECK(follower.IsBehind(0, 5, now));
+      CHECK_FALSE(follower.IsBehind(0, 9, now));
+      CHECK_FALSE(follower.IsBehind(1, 1, now));
     }
   }
 
--- a/unittests/Platform/ForwardingTest.cpp
+++ b/unittests/Platform/ForwardingTest.cpp
@@ -168,6 +168,24 @@
     CHECK(arrivals() == 0);
   }
 
+  SECTION("is told to come back where a newer configuration may know it")
+  {
+    fleet.m_state.m_isConfigurationInDoubt = [] { return true; };
+    std::string unknown = GatewayFixture::Request("/once/");
+    unknown.replace(unknown.find("Bearer key"), 10, "Bearer not");
+    for (const std::string& request :
+         { GatewayFixture::Request("/none/"), unknown }) {
+      const std::string answer = fleet.Call(request);
+      CHECK(StatusOf(answer) == "HTTP/1.1 503");
+      CHECK(Contains(answer, "Retry-After: "));
+    }
+    CHECK(arrivals() == 0);
+    fleet.m_first.m_scripts = { { GatewayFixture::Good() } };
+    fleet.m_second.m_scripts = { { GatewayFixture::Good() } };
+    CHECK(StatusOf(fleet.Call(GatewayFixture::Request("/once/"))) ==
+          "HTTP/1.1 200");
+  }
+
   SECTION("gets no success that is unsigned, another's or cut short")
   {
     const std::string unsignedAnswer =
