What routers send of large items is compressed: the first big version reached small links late

What callers saw: routes of the first big version refused for up to 4 s at routers with a busy link. Cause: a difference of thousands of new routes has the size of these routes, 528 KB. Change: values and differences from 4 KB on are compressed by zlib at its quickest level; their length is told and bounded. Why it works: routes are alike in all but names. Ruled out: waiting for several smaller differences, since the operator writes the routes in one version.

--- a/include/bergamotpaddle/Gateway/FeedReplica.h
+++ b/include/bergamotpaddle/Gateway/FeedReplica.h
@@ -4,7 +4,8 @@
 ///
 /// Load pattern: many routers that need every change. Each is brought from the
 /// revision that it knows to the newest with what changed alone: a difference
-/// for a large item whose earlier version is still at hand.
+/// for a large item whose earlier version is still at hand, compressed where
+/// that is large as well.
 #pragma once
 
 #include "bergamotpaddle/Gateway/StoreItem.h"
@@ -33,7 +34,14 @@
   std::uint64_t m_revision = 0;
   std::uint64_t m_baseRevision = 0; ///< Of a difference.
   std::string m_bytes;
-  MSGPACK_DEFINE(m_key, m_kind, m_revision, m_baseRevision, m_bytes)
+  /// Length of the bytes before they were compressed; 0: they are not.
+  std::uint64_t m_plainSize = 0;
+  MSGPACK_DEFINE(m_key,
+                 m_kind,
+                 m_revision,
+                 m_baseRevision,
+                 m_bytes,
+                 m_plainSize)
   auto operator<=>(const FeedChange&) const = default;
 };
 
@@ -51,8 +59,11 @@
 /// Bounds on what a copy remembers.
 struct FeedReplicaOptions
 {
-  /// Items from this length on are sent as differences: a few packets.
+  /// Items from this length on are sent as differences, and what is sent of
+  /// them is compressed from this length on: a few packets.
   std::size_t m_largeBytes = 4096;
+  /// Longest item: the store's own bound on a value is 1 MB.
+  std::size_t m_longestBytes = 16UL * 1024 * 1024;
   /// Earlier versions kept of each large item. A router behind by more, after
   /// two seconds of a storm of versions every half second, gets it whole.
   std::size_t m_versionsKept = 4;
@@ -104,6 +115,7 @@
   FeedChange ChangeOf(const Versions& aVersions,
                       std::uint64_t aKnown,
                       const std::vector<std::uint64_t>& aBases) const;
+  absl::StatusOr<std::string> PlainBytes(const FeedChange& aChange) const;
   absl::StatusOr<StoreItem> ItemOf(const FeedChange& aChange) const;
 
   FeedReplicaOptions m_options;
--- a/lib/Gateway/FeedReplica.cpp
+++ b/lib/Gateway/FeedReplica.cpp
@@ -1,6 +1,7 @@
 #include "bergamotpaddle/Gateway/FeedReplica.h"
 
 #include "bergamotpaddle/Gateway/DocumentDelta.h"
+#include "bergamotpaddle/Support/Compression.h"
 #include "bergamotpaddle/Support/Text.h"
 
 #include <algorithm>
@@ -54,13 +55,30 @@
            : TakeChanges(std::move(items), aChanges.m_revision);
 }
 
+absl::StatusOr<std::string>
+FeedReplica::PlainBytes(const FeedChange& aChange) const
+{
+  if (aChange.m_plainSize == 0) {
+    return aChange.m_bytes;
+  }
+  if (aChange.m_plainSize > m_options.m_longestBytes) {
+    return absl::InvalidArgumentError(
+      Cat("feed: ", aChange.m_key, " is too long"));
+  }
+  return Decompress(aChange.m_bytes, aChange.m_plainSize);
+}
+
 absl::StatusOr<StoreItem>
 FeedReplica::ItemOf(const FeedChange& aChange) const
 {
   StoreItem item{ aChange.m_key, {}, aChange.m_revision, false };
+  absl::StatusOr<std::string> bytes = PlainBytes(aChange);
+  if (!bytes.ok()) {
+    return bytes.status();
+  }
   switch (aChange.m_kind) {
     case FeedChange::Kind::kValue:
-      item.m_value = aChange.m_bytes;
+      item.m_value = std::move(*bytes);
       return item;
     case FeedChange::Kind::kRemoved:
       item.m_isRemoved = true;
@@ -79,7 +97,7 @@
   }
   for (const StoreItem& version : known->second) {
     if (version.m_revision == aChange.m_baseRevision) {
-      auto value = ApplyDelta(version.m_value, aChange.m_bytes);
+      auto value = ApplyDelta(version.m_value, *bytes);
       if (!value.ok()) {
         return value.status();
       }
@@ -185,7 +203,8 @@
                                     FeedChange::Kind::kRemoved,
                                     removal.m_revision,
                                     0,
-                                    {} });
+                                    {},
+                                    0 });
     }
   }
   return changes;
@@ -198,7 +217,7 @@
 {
   const StoreItem& newest = aVersions.back();
   FeedChange change{
-    newest.m_key, FeedChange::Kind::kValue, newest.m_revision, 0, {}
+    newest.m_key, FeedChange::Kind::kValue, newest.m_revision, 0, {}, 0
   };
   if (newest.m_revision <= aKnown) {
     change.m_kind = FeedChange::Kind::kSame;
@@ -219,6 +238,10 @@
   } else {
     change.m_bytes = newest.m_value;
   }
+  if (change.m_bytes.size() >= m_options.m_largeBytes) {
+    change.m_plainSize = change.m_bytes.size();
+    change.m_bytes = Compress(change.m_bytes);
+  }
   return change;
 }
 
--- /dev/null
+++ b/lib/Support/Compression.cpp
@@ -0,0 +1,40 @@
+#include "bergamotpaddle/Support/Compression.h"
+
+#include <new>
+#include <zlib.h>
+
+namespace bergamotpaddle {
+
+std::string
+Compress(std::string_view aText)
+{
+  uLongf size = compressBound(aText.size());
+  std::string bytes(size, '\0');
+  const int status = compress2(reinterpret_cast<Bytef*>(bytes.data()),
+                               &size,
+                               reinterpret_cast<const Bytef*>(aText.data()),
+                               aText.size(),
+                               Z_BEST_SPEED);
+  if (status != Z_OK) {
+    throw std::bad_alloc(); // Its only other failure is a buffer too small.
+  }
+  bytes.resize(size);
+  return bytes;
+}
+
+absl::StatusOr<std::string>
+Decompress(std::string_view aBytes, std::size_t aSize)
+{
+  std::string text(aSize, '\0');
+  uLongf size = aSize;
+  const int status = uncompress(reinterpret_cast<Bytef*>(text.data()),
+                                &size,
+                                reinterpret_cast<const Bytef*>(aBytes.data()),
+                                aBytes.size());
+  if (status != Z_OK || size != aSize) {
+    return absl::InvalidArgumentError("compressed text cannot be read");
+  }
+  return text;
+}
+
+} // namespace bergamotpaddle
--- a/unittests/Gateway/FeedReplicaTest.cpp
+++ b/unittests/Gateway/FeedReplicaTest.cpp
@@ -147,6 +147,25 @@
       CHECK(follower.m_told == store.m_items);
     }
 
+    // The first big version once came as 528 KB of new routes.
+    SECTION("and new entries by the thousand come compressed")
+    {
+      std::string grown = Document(1);
+      for (int i = 0; i < 3000; ++i) {
+        Append(grown,
+               R"({"name":"r-)",
+               i,
+               R"(","host":"desk.example","kind":"safe","pathPrefix":"/p)",
+               i,
+               R"(/","timeoutMs":1500,"attempts":2,"service":"desk"})");
+      }
+      store.Put("config", grown);
+      reader.Watch(store);
+      const std::size_t plain = grown.size() - Document(1).size();
+      CHECK(BytesOf(follower.Ask(reader)) < plain / 4);
+      CHECK(follower.m_told == store.m_items);
+    }
+
     SECTION("and misses a version that its reader skipped")
     {
       store.Put("config", Document(2));
@@ -267,7 +286,7 @@
       { 20,
         19,
         false,
-        { { "servers/1", FeedChange::Kind::kDelta, 19, 3, "bytes" } } } }
+        { { "servers/1", FeedChange::Kind::kDelta, 19, 3, "bytes", 5 } } } }
   };
   CHECK(FeedAnswer::Decode(answer.Encode()).value() == answer);
 
