--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <fstream>
+#include <rapidcheck/catch.h>
 #include <unistd.h>
 
 using namespace bergamotpaddle;
@@ -56,6 +57,63 @@
   }
 }
 
+TEST_CASE("versions of the configuration read one after another",
+          "[documents][fuzz]")
+{
+  const auto route = [](int aName, const std::string& aMore) {
+    return R"({"name":"r)" + std::to_string(aName) +
+           R"(","host":"a","pathPrefix":"/p\"}],/","service":"s")" + aMore +
+           "}";
+  };
+
+  SECTION("say what each says by itself")
+  {
+    rc::prop("whatever stands in them", [&] {
+      ConfigurationReader reader;
+      for (int version = 1; version < 6; ++version) {
+        const std::string space =
+          *rc::gen::element(std::string(), std::string(" \n"));
+        std::string text = "{" + space + R"("version")" + space + ":" +
+                           std::to_string(version) + R"(,"services":[],)";
+        text += *rc::gen::element(std::string(),
+                                  std::string(R"("other":[{"routes":[{}]}],)"),
+                                  std::string(R"("routes":[],)"));
+        text += R"("routes":)" + space + "[";
+        const int count = *rc::gen::inRange(0, 5);
+        for (int i = 0; i < count; ++i) {
+          text += i > 0 ? space + "," : "";
+          text += route(*rc::gen::inRange(0, 3),
+                        *rc::gen::element(std::string(),
+                                          std::string(R"(,"priority":1)"),
+                                          std::string(R"(,"x":{"y":["}"]})"),
+                                          std::string(R"(,"service":)")));
+        }
+        text += *rc::gen::element(
+          std::string("]}"), std::string("] }"), std::string("],}"));
+        const auto whole = ReadConfiguration(text);
+        const auto one = reader.Read(text);
+        RC_ASSERT(whole.ok() == one.ok());
+        if (whole.ok()) {
+          RC_ASSERT(*whole == *one);
+        }
+      }
+    });
+  }
+
+  SECTION("are refused where anything in them is not whole")
+  {
+    ConfigurationReader reader;
+    for (const std::string& text :
+         { std::string("{"),
+           std::string(R"({"version":1})"),
+           std::string(R"({"version":1,"routes":[{}],"services":[]})"),
+           std::string(R"({"version":1,"routes":[{]},"services":[]})"),
+           std::string(R"({"version":1,"routes":["a"],"services":[]})") }) {
+      CHECK_FALSE(reader.Read(text).ok());
+    }
+  }
+}
+
 TEST_CASE("an upstream's entry", "[documents]")
 {
   const std::string text =
