--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -50,6 +50,10 @@
   LatencyHistogram m_connect;   ///< Connections to upstreams that were made.
   std::uint64_t m_connectTimeouts = 0;
   TrafficCounters m_traffic;
+  std::uint64_t m_accepted = 0; ///< Connections of callers.
+  /// How late the event loop came to its ticks: what waits for it is as late.
+  LatencyHistogram m_loopDelay;
+  Duration m_longestLoopDelay{ 0 }; ///< Since it was told last.
 };
 
 /// Bounds of the forwarding path.
--- a/lib/Forwarding/GatewayMetrics.cpp
+++ b/lib/Forwarding/GatewayMetrics.cpp
@@ -63,6 +63,12 @@
          "counter",
          "Events of streams passed on.",
          counters.m_events);
+  single("bergamotpaddle_connections_accepted_total",
+         "counter",
+         "Connections of callers.",
+         counters.m_accepted);
+  AppendHistogram(
+    text, "bergamotpaddle_loop_delay_seconds", counters.m_loopDelay, {});
   single("bergamotpaddle_log_lines_dropped_total",
          "counter",
          "Log lines beyond the bounds.",
