--- a/lib/Gateway/DocumentDelta.cpp
+++ b/lib/Gateway/DocumentDelta.cpp
@@ -98,9 +98,9 @@
     std::mismatch(aBase.begin(), aBase.begin() + shorter, aTarget.begin())
       .first -
     aBase.begin());
+  const auto left = static_cast<std::ptrdiff_t>(shorter - head);
   const auto tail = static_cast<std::size_t>(
-    std::mismatch(
-      aBase.rbegin(), aBase.rbegin() + (shorter - head), aTarget.rbegin())
+    std::mismatch(aBase.rbegin(), aBase.rbegin() + left, aTarget.rbegin())
       .first -
     aBase.rbegin());
   const std::string_view base = aBase.substr(head, aBase.size() - head - tail);
