--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -87,6 +87,7 @@
   Instant m_deadline;
   std::optional<Instant> m_silentAt;
   std::uint64_t m_allotted = 0;
+  std::uint64_t m_charged = 0; ///< Of what was allotted, once the run ended.
   Duration m_creditWaited{ 0 };
   std::uint64_t m_eventsDelivered = 0;
   bool m_hasRun = false;
--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -120,6 +120,15 @@
   std::uint64_t m_limit = 0; ///< What this router may spend in all.
   std::uint64_t m_used = 0;  ///< Spent and allotted of that.
   std::uint64_t m_free = 0;  ///< Granted to nobody when the record was read.
+  std::uint64_t m_spent = 0;    ///< Of m_used: settled.
+  std::uint64_t m_allotted = 0; ///< Of m_used: set aside for requests.
+  std::uint64_t m_lent = 0;     ///< Of m_used: other routers may spend it.
+  std::uint64_t m_borrowed = 0; ///< Of m_limit: under other routers' grants.
+  std::uint64_t m_closed = 0;   ///< Of lives that ended, in the record.
+  std::uint64_t m_closedSpent = 0;     ///< Of m_closed: spent for certain.
+  std::uint64_t m_grantedToOthers = 0; ///< To living routers, in the record.
+  std::uint64_t m_rate = 0;            ///< Demand here, in tokens a second.
+  bool m_isDrawnHere = false;          ///< Not borrowed of a home.
   auto operator<=>(const CreditStatus&) const = default;
 };
 
@@ -224,7 +233,7 @@
   /// The planned record was not written, or nobody knows.
   void Drop();
 
-  CreditStatus Status(const AccountId& aAccount) const;
+  CreditStatus Status(const AccountId& aAccount, Instant aNow) const;
 
   /// Tokens that may still be allotted for \p aAccount.
   std::uint64_t Spendable(const AccountId& aAccount) const;
@@ -249,6 +258,9 @@
     std::optional<CreditLoan> m_told;   ///< What the home said last.
     std::uint64_t m_freeAtLastRead = 0; ///< Not granted to anyone.
     std::uint64_t m_spentByOthers = 0;  ///< For certain, when read last.
+    std::uint64_t m_closed = 0;         ///< In the record read last.
+    std::uint64_t m_closedSpent = 0;    ///< In the record read last.
+    std::uint64_t m_grantedToOthers = 0; ///< In the record read last.
     double m_rateOfOthers = 0;          ///< Tokens a second, when read last.
     std::uint64_t m_rest = 0;           ///< Of the budget beyond what is spent.
     double m_demandRate = 0;            ///< Tokens a second, moving average.
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -488,6 +488,7 @@
     used = m_request.m_promptTokens +
            std::min(m_request.m_maxOutputTokens, events * perEvent);
   }
+  m_charged = used;
   m_state->m_credit.Settle(m_account->m_id, m_allotted, used);
 }
 
@@ -530,8 +531,10 @@
       .Number("events", static_cast<std::int64_t>(m_eventsDelivered));
   }
   if (m_account != nullptr && m_account->m_prepaid) {
-    const CreditStatus credit = m_state->m_credit.Status(m_account->m_id);
+    const CreditStatus credit = 
+      m_state->m_credit.Status(m_account->m_id, m_state->Now());
     line.Number("allotted", static_cast<std::int64_t>(m_allotted))
+      .Number("charged", static_cast<std::int64_t>(m_charged))
       .Milliseconds("credit_wait_ms", m_creditWaited)
       .Number("credit_limit", static_cast<std::int64_t>(credit.m_limit))
       .Number("credit_used", static_cast<std::int64_t>(credit.m_used))
--- a/lib/Gateway/CreditBook.cpp
+++ b/lib/Gateway/CreditBook.cpp
@@ -522,6 +522,10 @@
   aBalance.m_freeAtLastRead =
     aBalance.m_prepaid > committed ? aBalance.m_prepaid - committed : 0;
   aBalance.m_spentByOthers = aCredit.Spent();
+  aBalance.m_closed = aCredit.m_closed;
+  aBalance.m_closedSpent = aCredit.m_closedSpent;
+  aBalance.m_grantedToOthers =
+    committed - aCredit.m_closed - aBalance.OwnLimit();
   aBalance.m_rateOfOthers = static_cast<double>(aCredit.Rate());
   const std::uint64_t gone = aCredit.m_closed + aCredit.Spent() -
                              aCredit.m_closedSpent + aBalance.Used();
@@ -569,16 +573,28 @@
 }
 
 CreditStatus
-CreditBook::Status(const AccountId& aAccount) const
+CreditBook::Status(const AccountId& aAccount, Instant aNow) const
 {
   const auto found = m_balances.find(aAccount);
   if (found == m_balances.end()) {
     return {};
   }
   const Balance& balance = found->second;
-  return {
-    balance.m_prepaid, balance.Limit(), balance.Used(), balance.m_freeAtLastRead
-  };
+  CreditStatus status;
+  status.m_prepaid = balance.m_prepaid;
+  status.m_limit = balance.Limit();
+  status.m_used = balance.Used();
+  status.m_free = balance.m_freeAtLastRead;
+  status.m_spent = balance.m_spent;
+  status.m_allotted = balance.m_allotted;
+  status.m_lent = balance.m_lent;
+  status.m_borrowed = balance.m_borrowed;
+  status.m_closed = balance.m_closed;
+  status.m_closedSpent = balance.m_closedSpent;
+  status.m_grantedToOthers = balance.m_grantedToOthers;
+  status.m_rate = static_cast<std::uint64_t>(RateAt(balance, aNow));
+  status.m_isDrawnHere = !balance.IsBorrowed();
+  return status;
 }
 
 std::uint64_t
