--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -117,9 +117,9 @@
 struct CreditStatus
 {
   std::uint64_t m_prepaid = 0;
-  std::uint64_t m_limit = 0; ///< What this router may spend in all.
-  std::uint64_t m_used = 0;  ///< Spent and allotted of that.
-  std::uint64_t m_free = 0;  ///< Granted to nobody when the record was read.
+  std::uint64_t m_limit = 0;    ///< What this router may spend in all.
+  std::uint64_t m_used = 0;     ///< Spent and allotted of that.
+  std::uint64_t m_free = 0;     ///< Granted to nobody when the record was read.
   std::uint64_t m_spent = 0;    ///< Of m_used: settled.
   std::uint64_t m_allotted = 0; ///< Of m_used: set aside for requests.
   std::uint64_t m_lent = 0;     ///< Of m_used: other routers may spend it.
@@ -253,18 +253,18 @@
     std::uint64_t m_awaited = 0;  ///< Requests wait for it.
     bool m_hasRefused = false;    ///< For want of credit, since asked last.
     Drawer m_drawer = Drawer::kEach;
-    bool m_isUnmet = false;             ///< As home, of what was asked of us.
-    Instant m_emptyUntil{};             ///< The home had nothing to lend.
-    std::optional<CreditLoan> m_told;   ///< What the home said last.
-    std::uint64_t m_freeAtLastRead = 0; ///< Not granted to anyone.
-    std::uint64_t m_spentByOthers = 0;  ///< For certain, when read last.
-    std::uint64_t m_closed = 0;         ///< In the record read last.
-    std::uint64_t m_closedSpent = 0;    ///< In the record read last.
+    bool m_isUnmet = false;              ///< As home, of what was asked of us.
+    Instant m_emptyUntil{};              ///< The home had nothing to lend.
+    std::optional<CreditLoan> m_told;    ///< What the home said last.
+    std::uint64_t m_freeAtLastRead = 0;  ///< Not granted to anyone.
+    std::uint64_t m_spentByOthers = 0;   ///< For certain, when read last.
+    std::uint64_t m_closed = 0;          ///< In the record read last.
+    std::uint64_t m_closedSpent = 0;     ///< In the record read last.
     std::uint64_t m_grantedToOthers = 0; ///< In the record read last.
-    double m_rateOfOthers = 0;          ///< Tokens a second, when read last.
-    std::uint64_t m_rest = 0;           ///< Of the budget beyond what is spent.
-    double m_demandRate = 0;            ///< Tokens a second, moving average.
-    double m_usualRequest = 0;          ///< Greatest size, moving average.
+    double m_rateOfOthers = 0;           ///< Tokens a second, when read last.
+    std::uint64_t m_rest = 0;  ///< Of the budget beyond what is spent.
+    double m_demandRate = 0;   ///< Tokens a second, moving average.
+    double m_usualRequest = 0; ///< Greatest size, moving average.
     std::optional<Instant> m_lastDemand;
 
     bool IsBorrowed() const { return m_drawer == Drawer::kOther; }
--- /dev/null
+++ b/unittests/Gateway/CreditFleet.h
@@ -0,0 +1,273 @@
+/// \file
+/// Routers that share one client account, in virtual time: one home draws, the
+/// others borrow, at the pace of the real loops. A plain count tells which
+/// refusals the budget would have covered.
+#pragma once
+
+#include "bergamotpaddle/Gateway/CreditBook.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace bergamotpaddle {
+
+/// The account that all requests are of.
+inline const AccountId kSharedAccount("cafe");
+
+/// What became of the requests.
+struct CreditFleetCounts
+{
+  int m_asked = 0;
+  int m_served = 0;
+  int m_refused = 0;
+  int m_refusedOwed = 0; ///< The budget covered them, at their most.
+  auto operator<=>(const CreditFleetCounts&) const = default;
+};
+
+/// The fleet.
+class CreditFleet
+{
+public:
+  static constexpr Duration kStep = std::chrono::milliseconds(20);
+
+  CreditFleet(std::size_t aRouters, std::uint64_t aPrepaid, unsigned aSeed)
+    : m_prepaid(aPrepaid)
+    , m_random(aSeed)
+    , m_routers(aRouters)
+  {
+    for (std::size_t i = 0; i < aRouters; ++i) {
+      Start(i);
+    }
+    ChooseHome();
+  }
+
+  std::mt19937& Random() { return m_random; }
+  const CreditFleetCounts& Counts() const { return m_counts; }
+  const CreditRecord& Record() const { return m_record; }
+  std::uint64_t Spent() const { return m_spent; }
+  std::uint64_t Prepaid() const { return m_prepaid; }
+  std::size_t Size() const { return m_routers.size(); }
+
+  /// A request of \p aMost tokens, of which it uses \p aUsed, comes to a living
+  /// router.
+  void Request(std::uint64_t aMost, std::uint64_t aUsed, Duration aLasts)
+  {
+    std::vector<std::size_t> living;
+    for (std::size_t i = 0; i < m_routers.size(); ++i) {
+      if (m_routers[i].m_book) {
+        living.push_back(i);
+      }
+    }
+    if (living.empty()) {
+      return;
+    }
+    const std::size_t number = living[m_random() % living.size()];
+    CreditBook& book = *m_routers[number].m_book;
+    ++m_counts.m_asked;
+    const Pending pending{ number, m_routers[number].m_life, aMost,
+                           aUsed,  m_now + kCreditWait,      aLasts };
+    if (book.Allot(kSharedAccount, aMost, m_now) == CreditVerdict::kAllotted) {
+      Begin(pending);
+    } else if (book.CanObtain(kSharedAccount, m_now)) {
+      book.Await(kSharedAccount, aMost);
+      m_waiting.push_back(pending);
+    } else {
+      Refuse(pending);
+    }
+  }
+
+  /// Routers lose power; they are back \p aAfter from now.
+  void LosePower(const std::vector<std::size_t>& aRouters, Duration aAfter)
+  {
+    for (const std::size_t number : aRouters) {
+      m_routers[number].m_book.reset();
+      m_routers[number].m_backAt = m_now + aAfter;
+    }
+  }
+
+  void Pass(Duration aTime)
+  {
+    for (const Instant end = m_now + aTime; m_now < end; m_now += kStep) {
+      Step();
+    }
+  }
+
+private:
+  static constexpr Duration kCreditWait = std::chrono::milliseconds(160);
+  static constexpr Duration kAskInterval = std::chrono::milliseconds(340);
+  static constexpr Duration kDrawInterval = std::chrono::milliseconds(1000);
+  static constexpr Duration kShortInterval = std::chrono::milliseconds(150);
+  static constexpr Duration kAwaitedInterval = std::chrono::milliseconds(50);
+  static constexpr std::size_t kUnpacedRouters = 5;
+
+  struct Router
+  {
+    std::unique_ptr<CreditBook> m_book; ///< Null without power.
+    int m_life = 0;
+    Instant m_backAt{};
+    Instant m_askDue{};
+    Instant m_drawDue{};
+    Instant m_shortDue{};
+    Instant m_awaitedDue{};
+  };
+
+  /// A request that waits for credit or runs.
+  struct Pending
+  {
+    std::size_t m_router = 0;
+    int m_life = 0;
+    std::uint64_t m_most = 0;
+    std::uint64_t m_used = 0;
+    Instant m_until{};
+    Duration m_lasts{};
+  };
+
+  bool IsAlive(const Pending& aPending) const
+  {
+    const Router& router = m_routers[aPending.m_router];
+    return router.m_book && router.m_life == aPending.m_life;
+  }
+
+  void Start(std::size_t aNumber)
+  {
+    Router& router = m_routers[aNumber];
+    const std::string host = "r" + std::to_string(aNumber);
+    const HolderId life(host + "/" + std::to_string(++router.m_life));
+    router.m_book = std::make_unique<CreditBook>(
+      CreditHolder{ host, life, host + ":7200" }, CreditOptions{});
+    router.m_book->SetPrepaid(kSharedAccount, m_prepaid);
+    Draw(router);
+  }
+
+  void ChooseHome()
+  {
+    const auto home =
+      std::find_if(m_routers.begin(), m_routers.end(), [](const Router& aOne) {
+        return aOne.m_book != nullptr;
+      });
+    m_home = static_cast<std::size_t>(home - m_routers.begin());
+    for (std::size_t i = 0; i < m_routers.size(); ++i) {
+      if (m_routers[i].m_book) {
+        m_routers[i].m_book->SetDrawer(
+          kSharedAccount,
+          i == m_home ? CreditBook::Drawer::kHome : CreditBook::Drawer::kOther);
+      }
+    }
+  }
+
+  void Begin(const Pending& aPending)
+  {
+    ++m_counts.m_served;
+    m_spent += aPending.m_used;
+    m_underWay += aPending.m_most - aPending.m_used;
+    Pending running = aPending;
+    running.m_until = m_now + aPending.m_lasts;
+    m_running.push_back(running);
+  }
+
+  void Refuse(const Pending& aPending)
+  {
+    ++m_counts.m_refused;
+    const std::uint64_t most = m_spent + m_underWay + aPending.m_most;
+    m_counts.m_refusedOwed += most * 100 <= m_prepaid * 97 ? 1 : 0;
+  }
+
+  void Draw(Router& aRouter)
+  {
+    if (const auto plan = aRouter.m_book->Plan(m_record, m_now)) {
+      aRouter.m_book->Confirm();
+      m_record = *plan;
+    }
+    const auto routers = static_cast<int>(m_routers.size() / kUnpacedRouters);
+    aRouter.m_drawDue = m_now + kDrawInterval * std::max(1, routers);
+    aRouter.m_shortDue = m_now + kShortInterval * std::max(1, routers);
+    aRouter.m_awaitedDue = m_now + kAwaitedInterval;
+  }
+
+  void AskHome(Router& aRouter)
+  {
+    CreditBook& home = *m_routers[m_home].m_book;
+    aRouter.m_book->BorrowFromHome(
+      home.LendAsHome(aRouter.m_book->ToBorrow(m_now), m_now), m_now);
+    aRouter.m_askDue = m_now + kAskInterval;
+  }
+
+  void Step()
+  {
+    for (std::size_t i = 0; i < m_routers.size(); ++i) {
+      if (!m_routers[i].m_book && m_now >= m_routers[i].m_backAt) {
+        Start(i);
+      }
+    }
+    ChooseHome();
+    std::erase_if(m_running, [this](const Pending& aPending) {
+      const bool isOver = m_now >= aPending.m_until || !IsAlive(aPending);
+      if (isOver) {
+        m_underWay -= aPending.m_most - aPending.m_used;
+        if (IsAlive(aPending)) {
+          m_routers[aPending.m_router].m_book->Settle(
+            kSharedAccount, aPending.m_most, aPending.m_used);
+        }
+      }
+      return isOver;
+    });
+    for (std::size_t i = 0; i < m_routers.size(); ++i) {
+      if (m_routers[i].m_book) {
+        StepRouter(i);
+      }
+    }
+    std::erase_if(m_waiting, [this](const Pending& aPending) {
+      if (!IsAlive(aPending)) {
+        return true;
+      }
+      CreditBook& book = *m_routers[aPending.m_router].m_book;
+      if (book.AllotAwaited(kSharedAccount, aPending.m_most) ==
+          CreditVerdict::kAllotted) {
+        Begin(aPending);
+        return true;
+      }
+      if (m_now < aPending.m_until && book.CanObtain(kSharedAccount, m_now)) {
+        return false;
+      }
+      book.StopAwaiting(kSharedAccount, aPending.m_most);
+      Refuse(aPending);
+      return true;
+    });
+  }
+
+  void StepRouter(std::size_t aNumber)
+  {
+    Router& router = m_routers[aNumber];
+    const bool isAwaiting = std::any_of(
+      m_waiting.begin(), m_waiting.end(), [aNumber](const Pending& aPending) {
+        return aPending.m_router == aNumber;
+      });
+    if (aNumber != m_home && (isAwaiting || m_now >= router.m_askDue)) {
+      AskHome(router);
+    }
+    CreditBook& book = *router.m_book;
+    if (m_now >= router.m_drawDue ||
+        (m_now >= router.m_shortDue && book.IsShort(m_now)) ||
+        (m_now >= router.m_awaitedDue && book.IsAwaited())) {
+      Draw(router);
+    }
+  }
+
+  std::uint64_t m_prepaid;
+  std::mt19937 m_random;
+  std::vector<Router> m_routers;
+  CreditRecord m_record;
+  Instant m_now{};
+  std::size_t m_home = 0;
+  std::vector<Pending> m_waiting;
+  std::vector<Pending> m_running;
+  std::uint64_t m_spent = 0;
+  std::uint64_t m_underWay = 0; ///< What running requests will not use.
+  CreditFleetCounts m_counts;
+};
+
+} // namespace bergamotpaddle
