Borrowers return credit that they do not need, and hold a second ahead, not three

What callers saw: requests of small accounts were refused as out of reach, without any trouble, while their budget was not used up. Cause: a borrower kept what a request did not use, and one usual request for ever after a single one; 31 routers with a remainder each were up to 0.18 of a small budget. Class: what is held ahead is out of reach in proportion to the number of holders, not to what is used.

Ruled out for these: closed lives (there were none).

Change: a borrower holds a second of its demand, and a request ahead only while requests come at least every 2 s; what it holds beyond that by half goes back to the home with its calls. A return that is lost stays unspent; one that was never sent stays here. The home lends it to others or gives it back to the record.

Also: accounts without demand are not asked for any more.

--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -21,6 +21,7 @@
 
 #include <absl/status/statusor.h>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -96,8 +97,14 @@
   double m_fadeEnd = 0.35;
   double m_fadeSlope = 1.0;
   double m_leastShare = 0.025;
-  /// Demand that is asked of another router at a time.
-  Duration m_borrowedSpan = std::chrono::seconds(3);
+  /// Demand that a borrower holds ahead: three rounds of calls to homes. What
+  /// it holds is out of reach of all other routers.
+  Duration m_borrowedSpan = std::chrono::seconds(1);
+  /// A borrower holds a request's credit ahead while requests come at least
+  /// this often; otherwise each request is lent what it needs.
+  Duration m_idleSpan = std::chrono::seconds(2);
+  /// A borrower that holds more than it wants by this factor returns the rest.
+  double m_giveBackAbove = 1.5;
   /// A home that could lend nothing is asked again after this time: a draw,
   /// with a conflict or two.
   Duration m_emptyHold = std::chrono::milliseconds(400);
@@ -206,6 +213,13 @@
   /// What to borrow now of homes: less than half of what is held ahead is left,
   /// or requests wait.
   std::map<AccountId, std::uint64_t> ToBorrow(Instant aNow) const;
+  /// What is borrowed beyond the need, of accounts that \p aMayReturn, given up
+  /// here for the home to take back. Lost on the way, it stays unspent.
+  std::map<AccountId, std::uint64_t> GiveBack(
+    Instant aNow,
+    const std::function<bool(const AccountId&)>& aMayReturn);
+  /// As home, takes what a borrower gave back; it may be spent at once.
+  void TakeBack(const std::map<AccountId, std::uint64_t>& aTokens);
   /// Takes what a home said; what it lent may be spent at once.
   void BorrowFromHome(const std::map<AccountId, CreditLoan>& aLoans,
                       Instant aNow);
--- a/lib/Gateway/CreditBook.cpp
+++ b/lib/Gateway/CreditBook.cpp
@@ -261,6 +261,40 @@
   return wanted;
 }
 
+std::map<AccountId, std::uint64_t>
+CreditBook::GiveBack(Instant aNow,
+                     const std::function<bool(const AccountId&)>& aMayReturn)
+{
+  std::map<AccountId, std::uint64_t> given;
+  for (auto& [account, balance] : m_balances) {
+    if (!balance.IsBorrowed() || balance.m_borrowed == 0 ||
+        !aMayReturn(account)) {
+      continue;
+    }
+    const std::uint64_t kept = BorrowedHeadroom(balance, aNow);
+    const std::uint64_t left = Spendable(account);
+    if (static_cast<double>(left) >
+        static_cast<double>(kept) * m_options.m_giveBackAbove) {
+      const std::uint64_t tokens = std::min(left - kept, balance.m_borrowed);
+      balance.m_borrowed -= tokens;
+      given[account] = tokens;
+    }
+  }
+  return given;
+}
+
+void
+CreditBook::TakeBack(const std::map<AccountId, std::uint64_t>& aTokens)
+{
+  for (const auto& [account, tokens] : aTokens) {
+    Balance& balance = m_balances[account];
+    // An earlier home may have lent it: then it is spent under that one's.
+    const std::uint64_t ownLoan = std::min(balance.m_lent, tokens);
+    balance.m_lent -= ownLoan;
+    balance.m_borrowed += tokens - ownLoan;
+  }
+}
+
 void
 CreditBook::BorrowFromHome(const std::map<AccountId, CreditLoan>& aLoans,
                            Instant aNow)
@@ -397,9 +431,10 @@
 CreditBook::BorrowedHeadroom(const Balance& aBalance, Instant aNow) const
 {
   const double rate = RateAt(aBalance, aNow);
-  const double byDemand = rate * Seconds(m_options.m_borrowedSpan);
-  const double byRequests =
-    rate == 0 ? 0 : aBalance.m_usualRequest * m_options.m_minRequests;
+  const double usual = aBalance.m_usualRequest * m_options.m_minRequests;
+  const bool isBusy = rate * Seconds(m_options.m_idleSpan) >= usual;
+  const double byDemand = isBusy ? rate * Seconds(m_options.m_borrowedSpan) : 0;
+  const double byRequests = isBusy ? usual : 0;
   return std::max(aBalance.m_awaited,
                   static_cast<std::uint64_t>(std::max(byDemand, byRequests)));
 }
--- a/unittests/Gateway/CreditFleet.h
+++ b/unittests/Gateway/CreditFleet.h
@@ -191,6 +191,8 @@
   void AskHome(Router& aRouter)
   {
     CreditBook& home = *m_routers[m_home].m_book;
+    home.TakeBack(
+      aRouter.m_book->GiveBack(m_now, [](const AccountId&) { return true; }));
     aRouter.m_book->BorrowFromHome(
       home.LendAsHome(aRouter.m_book->ToBorrow(m_now), m_now), m_now);
     aRouter.m_askDue = m_now + kAskInterval;
--- a/unittests/Gateway/CreditFuzzTest.cpp
+++ b/unittests/Gateway/CreditFuzzTest.cpp
@@ -168,6 +168,20 @@
     }
   }
 
+  /// One host returns what it borrowed to another as its home; the call may be
+  /// lost.
+  void GiveBack(int aFrom, int aHome, bool aIsLost)
+  {
+    if (aFrom == aHome) {
+      return;
+    }
+    const auto given = m_hosts[aFrom].m_book->GiveBack(
+      m_now, [](const AccountId&) { return true; });
+    if (!aIsLost) {
+      m_hosts[aHome].m_book->TakeBack(given);
+    }
+  }
+
   void Stop(int aHost)
   {
     Host& host = m_hosts[aHost];
@@ -220,7 +234,7 @@
     World world;
     for (int step = 0; step < kSteps; ++step) {
       const int host = Pick(0, kRouters);
-      switch (Pick(0, 14)) {
+      switch (Pick(0, 15)) {
         case 0:
         case 1:
         case 2:
@@ -252,6 +266,9 @@
         case 12:
           world.AskHome(host, Pick(0, kRouters), Pick(0, 4) == 0);
           break;
+        case 13:
+          world.GiveBack(host, Pick(0, kRouters), Pick(0, 4) == 0);
+          break;
         default:
           Pick(0, 4) == 0 ? world.Start(host) : world.Stop(host);
       }
