Each account's credit is an item of its own, so that draws of different accounts do not conflict

Change: an item for each account, an item for each router; a draw writes the accounts that it changes, up to 16 in one call.

Class: draws of one account held up in proportion to the writers of all others. Test: a draw writes the accounts that it changes (on the code before a plan is always the whole record; the call did not exist). Replaced test: garbage in a record is garbage in an account or a router now.

--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -2,26 +2,25 @@
 /// Prepaid credit of one router without agents: what it may spend of each
 /// client account on its own, through any loss of the platform.
 ///
-/// One shared record holds, for each account, what earlier lives may have
-/// spent and the most that each living router may ever have spent (its grant).
-/// The sum never exceeds what is prepaid, and a router spends only within its
-/// own grant, so no partition and no kill can overspend. A grant counts for
-/// spending only once a write of this router that holds it is confirmed: a
-/// value that was merely read could be undone by an older write of ours that
-/// the platform carries out late.
+/// A shared record (`CreditRecord`) holds the most that each router may ever
+/// have spent (its grant). The sum never exceeds what is prepaid, and a router
+/// spends only within its own grant, so no partition and no kill can overspend.
+/// A grant counts for spending only once a write of this router that holds it
+/// is confirmed: a value that was merely read could be undone by an older write
+/// of ours that the platform carries out late.
 ///
-/// Load pattern: many routers that all draw from every account. Their writes of
-/// the one record conflict, those with slow links hardly ever win, and what
-/// each holds ahead is lost to the others. So one router, the account's home,
+/// Load pattern: many routers that all draw from every account. Their writes
+/// conflict, those with slow links hardly ever win, and what each holds ahead
+/// is lost to the others. So one router, the account's home,
 /// draws for all; the others borrow from it as their requests come.
 #pragma once
 
+#include "bergamotpaddle/Gateway/CreditRecord.h"
 #include "bergamotpaddle/Support/Time.h"
-#include "bergamotpaddle/Support/TypedId.h"
 
-#include <absl/status/statusor.h>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -30,54 +29,6 @@
 
 namespace bergamotpaddle {
 
-/// A router as the shared record names it.
-struct CreditHolder
-{
-  std::string m_host;    ///< Stable over restarts: one process at a time.
-  HolderId m_life;       ///< This run of the process.
-  std::string m_address; ///< Where other routers reach it.
-  auto operator<=>(const CreditHolder&) const = default;
-};
-
-/// What one router holds of one account.
-struct CreditGrant
-{
-  std::uint64_t m_granted = 0; ///< The most that it may ever have spent.
-  std::uint64_t m_spent = 0;   ///< Spent for certain when this was written.
-  std::uint64_t m_rate = 0;    ///< Demand then, in tokens a second.
-  auto operator<=>(const CreditGrant&) const = default;
-};
-
-/// One account in the shared record.
-struct AccountCredit
-{
-  std::uint64_t m_closed = 0; ///< Grants of lives that ended, taken as spent.
-  std::uint64_t m_closedSpent = 0; ///< Of these, what was spent for certain.
-  std::map<HolderId, CreditGrant> m_grants;
-  auto operator<=>(const AccountCredit&) const = default;
-
-  /// What is spent or granted: nobody else may have it.
-  std::uint64_t Committed() const;
-  /// What is spent for certain.
-  std::uint64_t Spent() const;
-  /// Demand of all routers, in tokens a second.
-  std::uint64_t Rate() const;
-  /// Takes the grant of \p aLife as spent.
-  void Close(const HolderId& aLife);
-};
-
-/// The shared record.
-struct CreditRecord
-{
-  std::map<HolderId, CreditHolder> m_holders;
-  std::map<AccountId, AccountCredit> m_accounts;
-  auto operator<=>(const CreditRecord&) const = default;
-
-  std::string Encode() const;
-  /// Fails on anything that is not a whole record: credit is never guessed.
-  static absl::StatusOr<CreditRecord> Decode(const std::string& aText);
-};
-
 /// How much is held beyond what was spent.
 struct CreditOptions
 {
@@ -154,6 +105,9 @@
 class CreditBook
 {
 public:
+  static constexpr std::size_t kAllAccounts =
+    std::numeric_limits<std::size_t>::max();
+
   CreditBook(CreditHolder aSelf, CreditOptions aOptions);
 
   /// Sets an account's budget; true if it changed. An account that is not set
@@ -232,19 +186,24 @@
   /// than half of its headroom left.
   bool IsShort(Instant aNow) const;
 
-  /// The record that this router wants, given the one that is \p aPresent, or
-  /// nullopt if nothing is worth a write. From here until `Confirm` or `Drop`
-  /// spending stays within both the old and the new grants.
-  std::optional<CreditRecord> Plan(const CreditRecord& aPresent, Instant aNow);
-
-  /// The record for a planned stop, with nothing under way any more: this life
-  /// closes at what it used, so that nothing is lost. From here on nothing is
-  /// allotted any more.
-  CreditRecord PlanStop(const CreditRecord& aPresent);
-
-  /// The planned record was written for certain.
+  /// The accounts that this router wants to be otherwise than in \p aPresent,
+  /// \p aMost at a time; nullopt if nothing is worth a write. From here until
+  /// `Confirm` or `Drop` spending of these stays within both the old and the
+  /// new grants.
+  std::optional<CreditPlan> Plan(const CreditRecord& aPresent,
+                                 Instant aNow,
+                                 std::size_t aMost = kAllAccounts);
+
+  /// The accounts for a planned stop, with nothing under way any more: this
+  /// life closes at what it used, so that nothing is lost. From here on nothing
+  /// is allotted any more. Empty when this life holds nothing more in
+  /// \p aPresent.
+  CreditPlan PlanStop(const CreditRecord& aPresent,
+                      std::size_t aMost = kAllAccounts);
+
+  /// What was planned was written for certain.
   void Confirm();
-  /// The planned record was not written, or nobody knows.
+  /// What was planned was not written, or nobody knows.
   void Drop();
 
   CreditStatus Status(const AccountId& aAccount, Instant aNow) const;
@@ -306,7 +265,11 @@
                             Instant aNow) const;
   void TakeRead(Balance& aBalance, const AccountCredit& aCredit) const;
   /// Takes grants of earlier lives of this host as spent; true if any were.
-  bool CloseEarlierLives(CreditRecord& aRecord) const;
+  bool CloseEarlierLives(AccountCredit& aCredit) const;
+  /// The grant that is wanted, given what \p aCredit says of all.
+  CreditGrant PlannedGrant(Balance& aBalance,
+                           AccountCredit aCredit,
+                           Instant aNow) const;
 
   CreditHolder m_self;
   CreditOptions m_options;
--- a/lib/Gateway/CreditBook.cpp
+++ b/lib/Gateway/CreditBook.cpp
@@ -2,15 +2,12 @@
 
 #include <algorithm>
 #include <cmath>
-#include <nlohmann/json.hpp>
 #include <vector>
 
 namespace bergamotpaddle {
 
 namespace {
 
-using nlohmann::json;
-
 constexpr double kRequestSmoothing = 0.1;
 
 double
@@ -21,106 +18,6 @@
 
 } // namespace
 
-std::uint64_t
-AccountCredit::Committed() const
-{
-  std::uint64_t sum = m_closed;
-  for (const auto& [life, grant] : m_grants) {
-    sum += grant.m_granted;
-  }
-  return sum;
-}
-
-std::uint64_t
-AccountCredit::Spent() const
-{
-  std::uint64_t sum = m_closedSpent;
-  for (const auto& [life, grant] : m_grants) {
-    sum += grant.m_spent;
-  }
-  return sum;
-}
-
-std::uint64_t
-AccountCredit::Rate() const
-{
-  std::uint64_t sum = 0;
-  for (const auto& [life, grant] : m_grants) {
-    sum += grant.m_rate;
-  }
-  return sum;
-}
-
-void
-AccountCredit::Close(const HolderId& aLife)
-{
-  if (const auto grant = m_grants.extract(aLife)) {
-    m_closed += grant.mapped().m_granted;
-    m_closedSpent += grant.mapped().m_spent;
-  }
-}
-
-std::string
-CreditRecord::Encode() const
-{
-  // Holders by number: their names would stand once for each account.
-  json holders = json::array();
-  std::map<HolderId, std::size_t> numbers;
-  for (const auto& [life, holder] : m_holders) {
-    numbers[life] = holders.size();
-    holders.push_back({ life.Str(), holder.m_host, holder.m_address });
-  }
-  json accounts = json::object();
-  for (const auto& [account, credit] : m_accounts) {
-    json grants = json::array();
-    for (const auto& [life, grant] : credit.m_grants) {
-      const auto number = numbers.find(life);
-      if (number != numbers.end() && grant != CreditGrant{}) {
-        grants.push_back(
-          { number->second, grant.m_granted, grant.m_spent, grant.m_rate });
-      }
-    }
-    accounts[account.Str()] = { { "closed", credit.m_closed },
-                                { "closed_spent", credit.m_closedSpent },
-                                { "grants", std::move(grants) } };
-  }
-  return json{
-    { "holders", std::move(holders) }, { "accounts", std::move(accounts) }
-  }.dump();
-}
-
-absl::StatusOr<CreditRecord>
-CreditRecord::Decode(const std::string& aText)
-{
-  try {
-    const json text = json::parse(aText);
-    CreditRecord record;
-    std::vector<HolderId> lives;
-    for (const json& holder : text.at("holders")) {
-      const HolderId life(holder.at(0).get<std::string>());
-      lives.push_back(life);
-      record.m_holders[life] = { holder.at(1), life, holder.at(2) };
-    }
-    for (const auto& [account, credit] : text.at("accounts").items()) {
-      AccountCredit& entry = record.m_accounts[AccountId(account)];
-      entry.m_closed = credit.at("closed").get<std::uint64_t>();
-      entry.m_closedSpent = credit.at("closed_spent").get<std::uint64_t>();
-      for (const json& grant : credit.at("grants")) {
-        const auto number = grant.at(0).get<std::size_t>();
-        if (number >= lives.size()) {
-          return absl::DataLossError("credit record: a grant of no holder");
-        }
-        entry.m_grants[lives[number]] = { grant.at(1).get<std::uint64_t>(),
-                                          grant.at(2).get<std::uint64_t>(),
-                                          grant.at(3).get<std::uint64_t>() };
-      }
-    }
-    return record;
-  } catch (const json::exception& error) {
-    return absl::DataLossError(std::string("credit record: ") + error.what());
-  }
-}
-
 std::uint64_t
 CreditBook::Balance::OwnLimit() const
 {
@@ -498,56 +395,66 @@
 }
 
 bool
-CreditBook::CloseEarlierLives(CreditRecord& aRecord) const
+CreditBook::CloseEarlierLives(AccountCredit& aCredit) const
 {
   std::vector<HolderId> ended;
-  for (const auto& [life, holder] : aRecord.m_holders) {
-    if (holder.m_host == m_self.m_host && life != m_self.m_life) {
+  for (const auto& [life, grant] : aCredit.m_grants) {
+    if (life != m_self.m_life && HostOfLife(life) == m_self.m_host) {
       ended.push_back(life);
     }
   }
   for (const HolderId& life : ended) {
-    aRecord.m_holders.erase(life);
-    for (auto& [account, credit] : aRecord.m_accounts) {
-      credit.Close(life);
-    }
+    aCredit.Close(life);
   }
   return !ended.empty();
 }
 
-std::optional<CreditRecord>
-CreditBook::Plan(const CreditRecord& aPresent, Instant aNow)
+std::optional<CreditPlan>
+CreditBook::Plan(const CreditRecord& aPresent, Instant aNow, std::size_t aMost)
 {
-  CreditRecord record = aPresent;
-  bool isChanged = CloseEarlierLives(record);
-  if (record.m_holders[m_self.m_life] != m_self) {
-    record.m_holders[m_self.m_life] = m_self;
-    isChanged = true;
-  }
-  m_holders = record.m_holders.size();
+  m_holders = std::max<std::size_t>(aPresent.m_holders.size(), 1);
+  CreditPlan plan;
   for (auto& [account, balance] : m_balances) {
-    AccountCredit& credit = record.m_accounts[account];
+    const auto present = aPresent.m_accounts.find(account);
+    AccountCredit credit =
+      present == aPresent.m_accounts.end() ? AccountCredit{} : present->second;
+    const bool isClosing = CloseEarlierLives(credit);
     CreditGrant& grant = credit.m_grants[m_self.m_life];
-    const std::uint64_t inRecord = grant.m_granted;
-    // Our own entry counts as what we may spend now: what the record says
-    // beyond that is a lowering of ours that did not arrive.
-    grant = { balance.OwnLimit(), 0, 0 };
-    TakeRead(balance, credit);
-    const std::uint64_t wanted =
-      WantedGrant(balance, balance.m_freeAtLastRead, aNow);
-    grant = { wanted - std::min(wanted, balance.m_borrowed),
-              balance.OwnSpent(),
-              static_cast<std::uint64_t>(RateAt(balance, aNow)) };
+    const CreditGrant inRecord = grant;
+    grant = PlannedGrant(balance, credit, aNow);
+    balance.m_isUnmet = false;
+    const bool isConfirmed = grant.m_granted == inRecord.m_granted &&
+                             grant.m_granted == balance.OwnLimit();
+    if (!isClosing && isConfirmed) {
+      continue;
+    }
     balance.m_planned = grant.m_granted;
     balance.m_hasPlan = true;
-    balance.m_isUnmet = false;
-    isChanged = isChanged || grant.m_granted != inRecord;
-  }
-  if (!isChanged) {
-    Drop();
-    return std::nullopt;
+    if (grant == CreditGrant{}) {
+      credit.m_grants.erase(m_self.m_life);
+    }
+    plan.emplace(account, std::move(credit));
+    if (plan.size() == aMost) {
+      break;
+    }
   }
-  return record;
+  return plan.empty() ? std::nullopt : std::optional(std::move(plan));
+}
+
+CreditGrant
+CreditBook::PlannedGrant(Balance& aBalance,
+                         AccountCredit aCredit,
+                         Instant aNow) const
+{
+  // Our own entry counts as what we may spend now: what the record says beyond
+  // that is a lowering of ours that did not arrive.
+  aCredit.m_grants[m_self.m_life] = { aBalance.OwnLimit(), 0, 0 };
+  TakeRead(aBalance, aCredit);
+  const std::uint64_t wanted =
+    WantedGrant(aBalance, aBalance.m_freeAtLastRead, aNow);
+  return { wanted - std::min(wanted, aBalance.m_borrowed),
+           aBalance.OwnSpent(),
+           static_cast<std::uint64_t>(RateAt(aBalance, aNow)) };
 }
 
 void
@@ -567,24 +474,29 @@
   aBalance.m_rest = aBalance.m_prepaid > gone ? aBalance.m_prepaid - gone : 0;
 }
 
-CreditRecord
-CreditBook::PlanStop(const CreditRecord& aPresent)
+CreditPlan
+CreditBook::PlanStop(const CreditRecord& aPresent, std::size_t aMost)
 {
   m_isStopped = true;
-  CreditRecord record = aPresent;
-  for (auto& [account, credit] : record.m_accounts) {
+  CreditPlan plan;
+  for (const auto& [account, present] : aPresent.m_accounts) {
     const auto balance = m_balances.find(account);
-    if (balance == m_balances.end()) {
+    if (balance == m_balances.end() ||
+        !present.m_grants.contains(m_self.m_life)) {
       continue;
     }
+    AccountCredit credit = present;
     CreditGrant& grant = credit.m_grants[m_self.m_life];
     const std::uint64_t used = balance->second.Used();
     grant.m_granted = used - std::min(used, balance->second.m_borrowed);
     grant.m_spent = balance->second.OwnSpent();
     credit.Close(m_self.m_life);
+    plan.emplace(account, std::move(credit));
+    if (plan.size() == aMost) {
+      break;
+    }
   }
-  record.m_holders.erase(m_self.m_life);
-  return record;
+  return plan;
 }
 
 void
@@ -602,8 +514,10 @@
 CreditBook::Drop()
 {
   for (auto& [account, balance] : m_balances) {
-    balance.m_granted = balance.OwnLimit();
-    balance.m_hasPlan = false;
+    if (balance.m_hasPlan) {
+      balance.m_granted = balance.OwnLimit();
+      balance.m_hasPlan = false;
+    }
   }
 }
 
--- /dev/null
+++ b/lib/Gateway/CreditRecord.cpp
@@ -0,0 +1,129 @@
+#include "bergamotpaddle/Gateway/CreditRecord.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bergamotpaddle {
+
+namespace {
+
+using nlohmann::json;
+
+absl::Status
+Unreadable(const json::exception& aError)
+{
+  return absl::DataLossError(std::string("credit record: ") + aError.what());
+}
+
+} // namespace
+
+std::string
+HostOfLife(const HolderId& aLife)
+{
+  return aLife.Str().substr(0, aLife.Str().rfind('/'));
+}
+
+std::string
+CreditHolder::Encode() const
+{
+  return json{ m_life.Str(), m_host, m_address }.dump();
+}
+
+absl::StatusOr<CreditHolder>
+CreditHolder::Decode(const std::string& aText)
+{
+  try {
+    const json text = json::parse(aText);
+    return CreditHolder{ text.at(1).get<std::string>(),
+                         HolderId(text.at(0).get<std::string>()),
+                         text.at(2).get<std::string>() };
+  } catch (const json::exception& error) {
+    return Unreadable(error);
+  }
+}
+
+std::uint64_t
+AccountCredit::Committed() const
+{
+  std::uint64_t sum = m_closed;
+  for (const auto& [life, grant] : m_grants) {
+    sum += grant.m_granted;
+  }
+  return sum;
+}
+
+std::uint64_t
+AccountCredit::Spent() const
+{
+  std::uint64_t sum = m_closedSpent;
+  for (const auto& [life, grant] : m_grants) {
+    sum += grant.m_spent;
+  }
+  return sum;
+}
+
+std::uint64_t
+AccountCredit::Rate() const
+{
+  std::uint64_t sum = 0;
+  for (const auto& [life, grant] : m_grants) {
+    sum += grant.m_rate;
+  }
+  return sum;
+}
+
+void
+AccountCredit::Close(const HolderId& aLife)
+{
+  if (const auto grant = m_grants.extract(aLife)) {
+    m_closed += grant.mapped().m_granted;
+    m_closedSpent += grant.mapped().m_spent;
+  }
+}
+
+std::string
+AccountCredit::Encode() const
+{
+  json grants = json::array();
+  for (const auto& [life, grant] : m_grants) {
+    if (grant != CreditGrant{}) {
+      grants.push_back(
+        { life.Str(), grant.m_granted, grant.m_spent, grant.m_rate });
+    }
+  }
+  return json{
+    { "closed", m_closed },
+    { "closed_spent", m_closedSpent },
+    { "grants", std::move(grants) }
+  }.dump();
+}
+
+absl::StatusOr<AccountCredit>
+AccountCredit::Decode(const std::string& aText)
+{
+  try {
+    const json text = json::parse(aText);
+    AccountCredit credit;
+    credit.m_closed = text.at("closed").get<std::uint64_t>();
+    credit.m_closedSpent = text.at("closed_spent").get<std::uint64_t>();
+    for (const json& grant : text.at("grants")) {
+      credit.m_grants[HolderId(grant.at(0).get<std::string>())] = {
+        grant.at(1).get<std::uint64_t>(),
+        grant.at(2).get<std::uint64_t>(),
+        grant.at(3).get<std::uint64_t>()
+      };
+    }
+    return credit;
+  } catch (const json::exception& error) {
+    return Unreadable(error);
+  }
+}
+
+void
+CreditRecord::Apply(const CreditPlan& aPlan)
+{
+  for (const auto& [account, credit] : aPlan) {
+    m_accounts[account] = credit;
+  }
+}
+
+} // namespace bergamotpaddle
--- a/unittests/Gateway/CreditBookTest.cpp
+++ b/unittests/Gateway/CreditBookTest.cpp
@@ -29,7 +29,7 @@
 {
   if (const auto plan = aBook.Plan(aRecord, aNow)) {
     aBook.Confirm();
-    aRecord = *plan;
+    aRecord.Apply(*plan);
   }
 }
 
@@ -114,7 +114,7 @@
     again.SetPrepaid(kCafe, kPrepaid);
     Draw(again, record, At(1));
     CHECK(record.m_accounts[kCafe].m_closed == granted);
-    CHECK_FALSE(record.m_holders.contains(HolderId("a/1")));
+    CHECK_FALSE(record.m_accounts[kCafe].m_grants.contains(HolderId("a/1")));
     CHECK(record.m_accounts[kCafe].Committed() <= kPrepaid);
   }
 
@@ -123,10 +123,11 @@
     Draw(first, record, At(0));
     REQUIRE(first.Allot(kCafe, 5'000, At(1)) == CreditVerdict::kAllotted);
     first.Settle(kCafe, 5'000, 3'000);
-    record = first.PlanStop(record);
+    record.Apply(first.PlanStop(record));
     CHECK(record.m_accounts[kCafe].Committed() == 3'000);
     CHECK(record.m_accounts[kCafe].Spent() == 3'000);
-    CHECK(record.m_holders.empty());
+    CHECK(record.m_accounts[kCafe].m_grants.empty());
+    CHECK(first.PlanStop(record).empty());
 
     SECTION("and nothing is allotted after it")
     {
@@ -142,8 +143,9 @@
 
     SECTION("what others hold but did not spend may come back")
     {
-      CreditGrant& other = record.m_accounts[kCafe].m_grants[HolderId("b/1")];
+      CreditGrant other;
       other.m_granted = kPrepaid * 9 / 10;
+      record.m_accounts[kCafe].m_grants[HolderId("b/1")] = other;
       Draw(first, record, At(2));
       CHECK(first.Allot(kCafe, kPrepaid / 2, At(2)) ==
             CreditVerdict::kOutOfReach);
@@ -156,18 +158,58 @@
     }
   }
 
-  SECTION("the record survives its encoding, and garbage is refused")
+  SECTION("accounts and routers survive their encoding, garbage is refused")
   {
     Draw(first, record, At(0));
     Draw(second, record, At(0));
-    const auto again = CreditRecord::Decode(record.Encode());
+    const AccountCredit& credit = record.m_accounts[kCafe];
+    const auto again = AccountCredit::Decode(credit.Encode());
     REQUIRE(again.ok());
-    CHECK(*again == record);
-    CHECK_FALSE(CreditRecord::Decode("{\"holders\":[]}").ok());
-    CHECK_FALSE(CreditRecord::Decode("not JSON").ok());
-    CHECK_FALSE(CreditRecord::Decode(R"({"holders":[],"accounts":{"a":)"
-                                     R"({"closed":0,"closed_spent":0,)"
-                                     R"("grants":[[3,1,0,0]]}}})")
+    CHECK(*again == credit);
+    CHECK_FALSE(AccountCredit::Decode("{\"closed\":0}").ok());
+    CHECK_FALSE(AccountCredit::Decode("not JSON").ok());
+    CHECK_FALSE(AccountCredit::Decode(R"({"closed":0,"closed_spent":0,)"
+                                      R"("grants":[["a/1",1]]})")
                   .ok());
+    const auto router = CreditHolder::Decode(Router("a", "1").Encode());
+    REQUIRE(router.ok());
+    CHECK(*router == Router("a", "1"));
+    CHECK_FALSE(CreditHolder::Decode("[1]").ok());
+  }
+
+  // Draws that wrote all accounts conflicted with each other for seconds.
+  SECTION("a draw writes the accounts that it changes, and no others")
+  {
+    const AccountId bar("bar");
+    first.SetPrepaid(bar, kPrepaid);
+    first.SetDrawer(bar, CreditBook::Drawer::kOther);
+    second.SetPrepaid(bar, kPrepaid);
+    second.SetDrawer(kCafe, CreditBook::Drawer::kOther);
+    const auto ofFirst = first.Plan(record, At(0));
+    const auto ofSecond = second.Plan(record, At(0));
+    REQUIRE(ofFirst.has_value());
+    REQUIRE(ofSecond.has_value());
+    CHECK(ofFirst->size() == 1);
+    CHECK(ofFirst->contains(kCafe));
+    CHECK(ofSecond->size() == 1);
+    CHECK(ofSecond->contains(bar));
+  }
+
+  SECTION("many accounts are planned a few at a time")
+  {
+    constexpr int kAccounts = 5;
+    constexpr std::size_t kMost = 2;
+    for (int number = 0; number < kAccounts; ++number) {
+      first.SetPrepaid(AccountId("shop" + std::to_string(number)), kPrepaid);
+    }
+    std::size_t written = 0;
+    while (const auto plan = first.Plan(record, At(0), kMost)) {
+      REQUIRE(plan->size() <= kMost);
+      first.Confirm();
+      record.Apply(*plan);
+      written += plan->size();
+    }
+    CHECK(written == kAccounts + 1);
+    CHECK(first.Spendable(AccountId("shop4")) > 0);
   }
 }
--- a/unittests/Gateway/CreditFleet.h
+++ b/unittests/Gateway/CreditFleet.h
@@ -180,7 +180,7 @@
   {
     if (const auto plan = aRouter.m_book->Plan(m_record, m_now)) {
       aRouter.m_book->Confirm();
-      m_record = *plan;
+      m_record.Apply(*plan);
     }
     const auto routers = static_cast<int>(m_routers.size() / kUnpacedRouters);
     aRouter.m_drawDue = m_now + kDrawInterval * std::max(1, routers);
--- a/unittests/Gateway/CreditFuzzTest.cpp
+++ b/unittests/Gateway/CreditFuzzTest.cpp
@@ -33,12 +33,12 @@
   CreditRecord m_record;
   std::uint64_t m_revision = 1;
 
-  bool Write(const CreditRecord& aRecord, std::uint64_t aExpected)
+  bool Write(const CreditPlan& aPlan, std::uint64_t aExpected)
   {
     if (aExpected != m_revision) {
       return false;
     }
-    m_record = aRecord;
+    m_record.Apply(aPlan);
     ++m_revision;
     return true;
   }
@@ -56,7 +56,7 @@
 /// A write that the store may still carry out.
 struct LateWrite
 {
-  CreditRecord m_record;
+  CreditPlan m_plan;
   std::uint64_t m_expected = 0;
 };
 
@@ -114,7 +114,7 @@
     if (!planned) {
       return;
     }
-    const CreditRecord& plan = *planned;
+    const CreditPlan& plan = *planned;
     if (aFault == 2) {
       m_late.push_back({ plan, host.m_knownRevision });
       host.m_book->Drop();
@@ -128,7 +128,7 @@
     host.m_knownRevision = m_store.m_revision;
     if (isWritten) {
       host.m_book->Confirm();
-      host.m_known = plan;
+      host.m_known.Apply(plan);
       return;
     }
     host.m_book->Drop();
@@ -195,7 +195,7 @@
   void CarryOutLate()
   {
     if (!m_late.empty()) {
-      m_store.Write(m_late.front().m_record, m_late.front().m_expected);
+      m_store.Write(m_late.front().m_plan, m_late.front().m_expected);
       m_late.pop_front();
     }
   }
--- a/unittests/Gateway/CreditHomeTest.cpp
+++ b/unittests/Gateway/CreditHomeTest.cpp
@@ -34,7 +34,7 @@
   const auto plan = aBook.Plan(aRecord, aNow);
   if (plan) {
     aBook.Confirm();
-    aRecord = *plan;
+    aRecord.Apply(*plan);
   }
   return plan.has_value();
 }
@@ -65,8 +65,8 @@
 
   SECTION("is drawn by it alone; the others return what they held")
   {
-    CHECK(record.m_accounts.at(kCafe).m_grants.at(HolderId("other/1")) ==
-          CreditGrant{});
+    CHECK_FALSE(
+      record.m_accounts.at(kCafe).m_grants.contains(HolderId("other/1")));
     CHECK(home.Spendable(kCafe) > 0);
   }
 
@@ -172,7 +172,7 @@
       attempts += plan ? 1 : 0;
       if (plan && !isTaken) {
         routers[i]->Confirm();
-        record = *plan;
+        record.Apply(*plan);
         isTaken = true;
       } else {
         routers[i]->Drop();
--- a/unittests/Platform/ForwardingTest.cpp
+++ b/unittests/Platform/ForwardingTest.cpp
@@ -34,7 +34,7 @@
   const auto draw = [&] {
     if (const auto plan = credit.Plan(record, fleet.m_state.Now())) {
       credit.Confirm();
-      record = *plan;
+      record.Apply(*plan);
     }
   };
   draw();
--- a/unittests/Platform/StoreClientTest.cpp
+++ b/unittests/Platform/StoreClientTest.cpp
@@ -109,7 +109,28 @@
     const auto refused = Await(io, client.CompareAndSwap("k", 6, "v"));
     REQUIRE(refused.ok());
     CHECK_FALSE(refused->m_isWritten);
-    CHECK(refused->m_present->m_value == "other");
+    REQUIRE(refused->m_present.size() == 1);
+    CHECK(refused->m_present.front().m_value == "other");
+  }
+
+  SECTION("writes several items at once, or none")
+  {
+    next.m_body = R"({"rev":9})";
+    const std::vector<StoreChange> changes = { { "a", 3, "v" },
+                                               { "b", 0, "w" },
+                                               { "c", 5, std::nullopt } };
+    const auto written = Await(io, client.Write(changes));
+    REQUIRE(written.ok());
+    CHECK(written->m_isWritten);
+    CHECK(lastBody.find(R"({"key":"b","rev":0})") != std::string::npos);
+    CHECK(lastBody.find(R"("delete":["c"])") != std::string::npos);
+    next = { 412, R"({"items":[{"key":"a","value":"b3RoZXI=","rev":8}]})" };
+    const auto refused = Await(io, client.Write(changes));
+    REQUIRE(refused.ok());
+    REQUIRE(refused->m_present.size() == 3);
+    CHECK(refused->m_present[0].m_revision == 8);
+    CHECK(refused->m_present[1].m_key == "b");
+    CHECK(refused->m_present[1].m_revision == 0); // Missing in the answer.
   }
 
   SECTION("never takes silence, a failure or garbage for an outcome")
