Reserves of routers that lose power come back, by the word of witnesses

Cause: the whole grant of a life that ended was taken as spent: up to 10 s of its account's demand, held for an outage of the store that was not there. Class: what is held ahead for safety is lost in proportion to the ends of its holders, not to what was used.

Change: a grant's working part covers two draws and a lost one; the rest is a reserve, closed by pledges to six witnesses. The life that follows on the host has it freed if one of them still holds a pledge. Opened in an outage after all witnesses released it or their pledges ended. No clock is compared with another.

Why it is sound: ReservePledge.h. Fuzzed first, against plain counts of the whole budget and of each life, with datagrams that come late, twice, never or to a later process, suspended hosts, boot clocks that begin anew, and late writes. Broken on purpose: reserve not kept, found after 9 runs; opened without waiting, after 1,882.

What is left: the working part, a second or two of refusals until another home draws.

--- a/include/bergamotpaddle/Forwarding/PeerLink.h
+++ b/include/bergamotpaddle/Forwarding/PeerLink.h
@@ -62,6 +62,15 @@
     m_onSign = std::move(aHook);
   }
 
+  /// Called with datagrams of the kind that `SendReserve` sends.
+  void OnReserve(
+    std::function<void(const std::string&, std::string_view)> aHook)
+  {
+    m_onReserve = std::move(aHook);
+  }
+  /// Sends a datagram about reserves of credit to a router, as IP:PORT.
+  void SendReserve(const std::string& aTo, const std::string& aBytes);
+
   /// The copies of this router changed: tells its peers before long.
   void NoteFeedChanged();
 
@@ -89,6 +98,8 @@
   std::map<Udp::endpoint, Instant> m_peers; ///< When each was heard last.
   DigestSchedule m_schedule;
   std::function<void()> m_onStranger = [] {};
+  std::function<void(const std::string&, std::string_view)> m_onReserve =
+    [](const std::string&, std::string_view) {};
   std::function<FeedSign()> m_describeFeeds = [] { return FeedSign(); };
   std::function<void(const std::string&, FeedSign)> m_onSign =
     [](const std::string&, const FeedSign&) {};
--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -23,6 +23,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,6 +36,10 @@
   /// Demand that a grant covers without the platform. The longest loss of the
   /// platform seen on the users' sites is 8.7 s.
   Duration m_headroom = std::chrono::seconds(10);
+  /// Demand that is spent from draw to draw, the reserves being closed: two
+  /// draws, and one that is lost.
+  Duration m_workingSpan = std::chrono::seconds(2);
+  double m_workingDraws = 2.5;
   /// Span of the moving average of demand.
   Duration m_demandSpan = std::chrono::seconds(4);
   /// Least headroom, in requests of the account's usual size.
@@ -42,6 +47,9 @@
   /// Part of an account's free credit that all routers together hold without
   /// demand; as a budget runs out they return it to where demand is.
   double m_initialShare = 0.06;
+  /// Of that, what is not in reserve: a second of the demand that uses a budget
+  /// up in a minute.
+  double m_initialWorkingShare = 0.02;
   /// What routers hold dies with them, so a budget near its end is drawn in
   /// small steps. All together hold the part of the budget by which its rest
   /// exceeds m_fadeEnd, times m_fadeSlope, and at least m_leastShare.
@@ -183,9 +191,24 @@
   std::map<AccountId, std::uint64_t> TakeWanted(Instant aNow);
 
   /// Whether the shared record should be written soon: some account has less
-  /// than half of its headroom left.
+  /// than half of what is spent from draw to draw.
   bool IsShort(Instant aNow) const;
 
+  /// Draws come this often.
+  void SetDrawInterval(Duration aInterval) { m_drawInterval = aInterval; }
+
+  /// Whether some account is short and has a reserve that is closed.
+  bool NeedsReserve(Instant aNow) const;
+  /// From now on reserves are spent, until a draw covers what was spent.
+  void OpenReserves();
+  bool HasOpenReserve() const;
+  /// The reserves of \p aLife, an earlier one of this host, were closed to its
+  /// end: they are free once it is closed in the record.
+  void NoteReserveClosed(const HolderId& aLife)
+  {
+    m_closedReserves.insert(aLife);
+  }
+
   /// The accounts that this router wants to be otherwise than in \p aPresent,
   /// \p aMost at a time; nullopt if nothing is worth a write. From here until
   /// `Confirm` or `Drop` spending of these stays within both the old and the
@@ -217,8 +240,10 @@
   {
     std::uint64_t m_prepaid = 0;
     std::uint64_t m_granted = 0; ///< Confirmed.
-    std::uint64_t m_planned = 0; ///< In the write under way.
+    std::uint64_t m_working = 0; ///< Confirmed: m_granted without the reserve.
+    CreditGrant m_planned;       ///< In the write under way.
     bool m_hasPlan = false;
+    bool m_isReserveOpen = false;
     std::uint64_t m_spent = 0;    ///< Settled.
     std::uint64_t m_allotted = 0; ///< Set aside for requests under way.
     std::uint64_t m_lent = 0;     ///< Others spend it under our grant.
@@ -241,8 +266,14 @@
     std::optional<Instant> m_lastDemand;
 
     bool IsBorrowed() const { return m_drawer == Drawer::kOther; }
-    /// What our own grant allows, whichever write takes effect.
+    /// Our own grant, whichever write takes effect.
+    std::uint64_t OwnGrant() const;
+    /// Of that, what is not in reserve.
+    std::uint64_t OwnWorking() const;
+    /// What may be spent now.
     std::uint64_t OwnLimit() const;
+    std::uint64_t WorkingLimit() const { return OwnWorking() + m_borrowed; }
+    std::uint64_t GrantLimit() const { return OwnGrant() + m_borrowed; }
     std::uint64_t Limit() const { return OwnLimit() + m_borrowed; }
     std::uint64_t Used() const { return m_spent + m_allotted + m_lent; }
     /// Spent under our own grant for certain; what was borrowed goes first.
@@ -252,6 +283,7 @@
     }
   };
 
+  static void CloseReserve(Balance& aBalance);
   static CreditVerdict TakeFrom(Balance& aBalance, std::uint64_t aMost);
   double RateAt(const Balance& aBalance, Instant aNow) const;
   void NoteDemand(Balance& aBalance, std::uint64_t aTokens, Instant aNow) const;
@@ -259,11 +291,21 @@
                       std::uint64_t aTokens,
                       Instant aNow) const;
   std::uint64_t Headroom(const Balance& aBalance, Instant aNow) const;
+  /// Of the headroom, what is not in reserve.
+  std::uint64_t WorkingHeadroom(const Balance& aBalance, Instant aNow) const;
+  bool IsShort(const Balance& aBalance, Instant aNow) const;
+  /// What all routers hold of an account without demand, \p aShare of what is
+  /// free.
+  std::uint64_t WithoutDemand(const Balance& aBalance, double aShare) const;
   std::uint64_t BorrowedHeadroom(const Balance& aBalance, Instant aNow) const;
-  std::uint64_t WantedGrant(const Balance& aBalance,
-                            std::uint64_t aFree,
-                            Instant aNow) const;
+  /// The limit at which \p aHeadroom is left, or the present one if that is
+  /// near.
+  std::uint64_t WantedLimit(std::uint64_t aUsed,
+                            std::uint64_t aPresent,
+                            std::uint64_t aHeadroom) const;
   void TakeRead(Balance& aBalance, const AccountCredit& aCredit) const;
+  /// Faded: what all hold beyond the least, as a budget nears its end.
+  double Faded(const Balance& aBalance) const;
   /// Takes grants of earlier lives of this host as spent; true if any were.
   bool CloseEarlierLives(AccountCredit& aCredit) const;
   /// The grant that is wanted, given what \p aCredit says of all.
@@ -275,7 +317,9 @@
   CreditOptions m_options;
   bool m_isStopped = false;
 
-  std::size_t m_holders = 1; ///< In the record read last.
+  Duration m_drawInterval = std::chrono::seconds(0);
+  std::set<HolderId> m_closedReserves; ///< Of earlier lives of this host.
+  std::size_t m_holders = 1;           ///< In the record read last.
   std::map<AccountId, Balance> m_balances;
 };
 
--- a/include/bergamotpaddle/Gateway/CreditRecord.h
+++ b/include/bergamotpaddle/Gateway/CreditRecord.h
@@ -35,8 +35,10 @@
 struct CreditGrant
 {
   std::uint64_t m_granted = 0; ///< The most that it may ever have spent.
-  std::uint64_t m_spent = 0;   ///< Spent for certain when this was written.
-  std::uint64_t m_rate = 0;    ///< Demand then, in tokens a second.
+  /// Of these, the most that it may have spent with its reserves closed.
+  std::uint64_t m_working = 0;
+  std::uint64_t m_spent = 0; ///< Spent for certain when this was written.
+  std::uint64_t m_rate = 0;  ///< Demand then, in tokens a second.
   auto operator<=>(const CreditGrant&) const = default;
 };
 
@@ -54,8 +56,9 @@
   std::uint64_t Spent() const;
   /// Demand of all routers, in tokens a second.
   std::uint64_t Rate() const;
-  /// Takes the grant of \p aLife as spent.
-  void Close(const HolderId& aLife);
+  /// Takes the grant of \p aLife as spent, without its reserve if that is
+  /// proven to be closed.
+  void Close(const HolderId& aLife, bool aIsReserveClosed);
 
   std::string Encode() const;
   /// Fails on anything that is not whole: credit is never guessed.
--- a/lib/Forwarding/PeerLink.cpp
+++ b/lib/Forwarding/PeerLink.cpp
@@ -3,6 +3,7 @@
 #include "bergamotpaddle/Forwarding/Endpoint.h"
 #include "bergamotpaddle/Support/Text.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -18,6 +19,9 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr std::size_t kMaxDatagram = 60'000;
+/// First byte of datagrams about reserves; no digest begins with it, since
+/// MessagePack does not use it.
+constexpr char kReserveMark = '\xc1';
 /// Until there are peers to tell.
 constexpr Duration kIdlePause = std::chrono::milliseconds(100);
 
@@ -120,6 +124,23 @@
   }
 }
 
+void
+PeerLink::SendReserve(const std::string& aTo, const std::string& aBytes)
+{
+  const auto endpoint = ParseEndpoint(aTo);
+  if (!endpoint.ok()) {
+    return; // No router listens there.
+  }
+  ErrorCode error;
+  const std::array<asio::const_buffer, 2> parts = {
+    asio::buffer(&kReserveMark, 1), asio::buffer(aBytes)
+  };
+  // What cannot leave now is sent again by whoever waits for an answer.
+  const std::size_t sent = m_socket.send_to(
+    parts, Udp::endpoint(endpoint->address(), endpoint->port()), 0, error);
+  m_state->m_counters.m_traffic.Note(TrafficPeer::kRouters, sent, 0);
+}
+
 std::vector<std::string>
 PeerLink::Reachable() const
 {
@@ -223,9 +244,13 @@
       continue;
     }
     m_state->m_counters.m_traffic.Note(TrafficPeer::kRouters, 0, count);
+    const std::string_view datagram = std::string_view(bytes).substr(0, count);
+    if (datagram.starts_with(kReserveMark)) {
+      m_onReserve(Text(from), datagram.substr(1));
+      continue;
+    }
     const auto peer = m_peers.find(from);
-    const auto digest =
-      PeerDigest::Decode(std::string_view(bytes).substr(0, count));
+    const auto digest = PeerDigest::Decode(datagram);
     if (!digest.ok()) {
       m_state->Log(LogLine("peer.unreadable")
                      .Text("from", Text(from))
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -531,7 +531,7 @@
       .Number("events", static_cast<std::int64_t>(m_eventsDelivered));
   }
   if (m_account != nullptr && m_account->m_prepaid) {
-    const CreditStatus credit = 
+    const CreditStatus credit =
       m_state->m_credit.Status(m_account->m_id, m_state->Now());
     line.Number("allotted", static_cast<std::int64_t>(m_allotted))
       .Number("charged", static_cast<std::int64_t>(m_charged))
--- a/lib/Gateway/CreditBook.cpp
+++ b/lib/Gateway/CreditBook.cpp
@@ -18,10 +18,26 @@
 
 } // namespace
 
+std::uint64_t
+CreditBook::Balance::OwnGrant() const
+{
+  return m_hasPlan ? std::min(m_granted, m_planned.m_granted) : m_granted;
+}
+
+std::uint64_t
+CreditBook::Balance::OwnWorking() const
+{
+  return m_hasPlan ? std::min(m_working, m_planned.m_working) : m_working;
+}
+
 std::uint64_t
 CreditBook::Balance::OwnLimit() const
 {
-  return m_hasPlan ? std::min(m_granted, m_planned) : m_granted;
+  if (!m_isReserveOpen) {
+    return OwnWorking();
+  }
+  // The write under way closes the reserve, if it is confirmed.
+  return m_hasPlan ? std::min(m_granted, m_planned.m_working) : m_granted;
 }
 
 CreditBook::CreditBook(CreditHolder aSelf, CreditOptions aOptions)
@@ -336,61 +352,114 @@
                   static_cast<std::uint64_t>(std::max(byDemand, byRequests)));
 }
 
+double
+CreditBook::Faded(const Balance& aBalance) const
+{
+  return m_options.m_fadeSlope *
+         (static_cast<double>(aBalance.m_rest) -
+          m_options.m_fadeEnd * static_cast<double>(aBalance.m_prepaid));
+}
+
 std::uint64_t
-CreditBook::Headroom(const Balance& aBalance, Instant aNow) const
+CreditBook::WithoutDemand(const Balance& aBalance, double aShare) const
+{
+  // A home alone holds what routers hold together.
+  const double holders =
+    aBalance.m_drawer == Drawer::kHome ? 1.0 : static_cast<double>(m_holders);
+  const double ofFree = aShare * static_cast<double>(aBalance.m_freeAtLastRead);
+  return static_cast<std::uint64_t>(
+    std::min(ofFree, std::max(Faded(aBalance), 0.0)) / holders);
+}
+
+std::uint64_t
+CreditBook::WorkingHeadroom(const Balance& aBalance, Instant aNow) const
 {
   if (aBalance.IsBorrowed()) {
     return 0; // What is needed here is borrowed.
   }
+  const double span =
+    std::max(Seconds(m_options.m_workingSpan),
+             Seconds(m_drawInterval) * m_options.m_workingDraws);
+  const double needed =
+    std::max(RateAt(aBalance, aNow) * span,
+             m_options.m_minRequests * aBalance.m_usualRequest);
+  return std::max({ aBalance.m_awaited,
+                    static_cast<std::uint64_t>(needed),
+                    WithoutDemand(aBalance, m_options.m_initialWorkingShare) });
+}
+
+std::uint64_t
+CreditBook::Headroom(const Balance& aBalance, Instant aNow) const
+{
+  if (aBalance.IsBorrowed()) {
+    return 0;
+  }
   const auto prepaid = static_cast<double>(aBalance.m_prepaid);
   const double rate = RateAt(aBalance, aNow);
   const double ofDemand =
     rate == 0 ? 0 : rate / (rate + aBalance.m_rateOfOthers);
-  const double faded =
-    m_options.m_fadeSlope *
-    (static_cast<double>(aBalance.m_rest) - m_options.m_fadeEnd * prepaid);
   const double most =
-    std::max(faded, m_options.m_leastShare * prepaid) * ofDemand;
+    std::max(Faded(aBalance), m_options.m_leastShare * prepaid) * ofDemand;
   const double byDemand = std::min(rate * Seconds(m_options.m_headroom), most);
-  const double byRequests = m_options.m_minRequests * aBalance.m_usualRequest;
-  // A home alone holds what routers hold together without demand.
-  const double holders =
-    aBalance.m_drawer == Drawer::kHome ? 1.0 : static_cast<double>(m_holders);
-  const double withoutDemand =
-    std::min(m_options.m_initialShare *
-               static_cast<double>(aBalance.m_freeAtLastRead),
-             std::max(faded, 0.0)) /
-    holders;
-  return std::max(aBalance.m_awaited,
-                  static_cast<std::uint64_t>(
-                    std::max({ byDemand, byRequests, withoutDemand })));
+  return std::max({ WorkingHeadroom(aBalance, aNow),
+                    static_cast<std::uint64_t>(byDemand),
+                    WithoutDemand(aBalance, m_options.m_initialShare) });
 }
 
 std::uint64_t
-CreditBook::WantedGrant(const Balance& aBalance,
-                        std::uint64_t aFree,
-                        Instant aNow) const
-{
-  const std::uint64_t wanted = aBalance.Used() + Headroom(aBalance, aNow);
-  const std::uint64_t granted = aBalance.Limit();
-  if (wanted > granted) {
-    return granted + std::min(wanted - granted, aFree);
-  }
-  const double spare = static_cast<double>(granted - aBalance.Used());
-  const double kept = static_cast<double>(wanted - aBalance.Used());
-  return spare > kept * m_options.m_returnAbove ? wanted : granted;
+CreditBook::WantedLimit(std::uint64_t aUsed,
+                        std::uint64_t aPresent,
+                        std::uint64_t aHeadroom) const
+{
+  const std::uint64_t wanted = aUsed + aHeadroom;
+  const std::uint64_t left = aPresent - std::min(aPresent, aUsed);
+  const double kept = static_cast<double>(aHeadroom) * m_options.m_returnAbove;
+  const bool isKept = wanted <= aPresent && static_cast<double>(left) <= kept;
+  return isKept ? aPresent : wanted;
+}
+
+bool
+CreditBook::IsShort(const Balance& aBalance, Instant aNow) const
+{
+  const std::uint64_t limit = aBalance.Limit();
+  const std::uint64_t left =
+    limit > aBalance.Used() ? limit - aBalance.Used() : 0;
+  return left < WorkingHeadroom(aBalance, aNow) / 2;
 }
 
 bool
 CreditBook::IsShort(Instant aNow) const
+{
+  return std::any_of(
+    m_balances.begin(), m_balances.end(), [&](const auto& aEntry) {
+      return IsShort(aEntry.second, aNow);
+    });
+}
+
+bool
+CreditBook::NeedsReserve(Instant aNow) const
 {
   return std::any_of(
     m_balances.begin(), m_balances.end(), [&](const auto& aEntry) {
       const Balance& balance = aEntry.second;
-      const std::uint64_t limit = balance.Limit();
-      const std::uint64_t left =
-        limit > balance.Used() ? limit - balance.Used() : 0;
-      return left < Headroom(balance, aNow) / 2;
+      return balance.Limit() < balance.GrantLimit() && IsShort(balance, aNow);
+    });
+}
+
+void
+CreditBook::OpenReserves()
+{
+  for (auto& [account, balance] : m_balances) {
+    balance.m_isReserveOpen = true;
+  }
+}
+
+bool
+CreditBook::HasOpenReserve() const
+{
+  return std::any_of(
+    m_balances.begin(), m_balances.end(), [](const auto& aEntry) {
+      return aEntry.second.m_isReserveOpen;
     });
 }
 
@@ -404,7 +473,7 @@
     }
   }
   for (const HolderId& life : ended) {
-    aCredit.Close(life);
+    aCredit.Close(life, m_closedReserves.contains(life));
   }
   return !ended.empty();
 }
@@ -424,11 +493,14 @@
     grant = PlannedGrant(balance, credit, aNow);
     balance.m_isUnmet = false;
     const bool isConfirmed = grant.m_granted == inRecord.m_granted &&
-                             grant.m_granted == balance.OwnLimit();
+                             grant.m_working == inRecord.m_working &&
+                             grant.m_granted == balance.m_granted &&
+                             grant.m_working == balance.m_working;
     if (!isClosing && isConfirmed) {
+      CloseReserve(balance);
       continue;
     }
-    balance.m_planned = grant.m_granted;
+    balance.m_planned = grant;
     balance.m_hasPlan = true;
     if (grant == CreditGrant{}) {
       credit.m_grants.erase(m_self.m_life);
@@ -448,11 +520,20 @@
 {
   // Our own entry counts as what we may spend now: what the record says beyond
   // that is a lowering of ours that did not arrive.
-  aCredit.m_grants[m_self.m_life] = { aBalance.OwnLimit(), 0, 0 };
+  aCredit.m_grants[m_self.m_life].m_granted = aBalance.OwnGrant();
   TakeRead(aBalance, aCredit);
-  const std::uint64_t wanted =
-    WantedGrant(aBalance, aBalance.m_freeAtLastRead, aNow);
+  const std::uint64_t most = aBalance.GrantLimit() + aBalance.m_freeAtLastRead;
+  const std::uint64_t wanted = std::min(most,
+                                        WantedLimit(aBalance.Used(),
+                                                    aBalance.GrantLimit(),
+                                                    Headroom(aBalance, aNow)));
+  const std::uint64_t working =
+    std::min(wanted,
+             WantedLimit(aBalance.Used(),
+                         aBalance.WorkingLimit(),
+                         WorkingHeadroom(aBalance, aNow)));
   return { wanted - std::min(wanted, aBalance.m_borrowed),
+           working - std::min(working, aBalance.m_borrowed),
            aBalance.OwnSpent(),
            static_cast<std::uint64_t>(RateAt(aBalance, aNow)) };
 }
@@ -467,7 +548,7 @@
   aBalance.m_closed = aCredit.m_closed;
   aBalance.m_closedSpent = aCredit.m_closedSpent;
   aBalance.m_grantedToOthers =
-    committed - aCredit.m_closed - aBalance.OwnLimit();
+    committed - aCredit.m_closed - aBalance.OwnGrant();
   aBalance.m_rateOfOthers = static_cast<double>(aCredit.Rate());
   const std::uint64_t gone = aCredit.m_closed + aCredit.Spent() -
                              aCredit.m_closedSpent + aBalance.Used();
@@ -490,7 +571,8 @@
     const std::uint64_t used = balance->second.Used();
     grant.m_granted = used - std::min(used, balance->second.m_borrowed);
     grant.m_spent = balance->second.OwnSpent();
-    credit.Close(m_self.m_life);
+    constexpr bool kIsReserveClosed = false; // Nothing is held in reserve.
+    credit.Close(m_self.m_life, kIsReserveClosed);
     plan.emplace(account, std::move(credit));
     if (plan.size() == aMost) {
       break;
@@ -499,13 +581,24 @@
   return plan;
 }
 
+void
+CreditBook::CloseReserve(Balance& aBalance)
+{
+  // It stays open until the record covers what was spent of it.
+  if (aBalance.Used() <= aBalance.m_working + aBalance.m_borrowed) {
+    aBalance.m_isReserveOpen = false;
+  }
+}
+
 void
 CreditBook::Confirm()
 {
   for (auto& [account, balance] : m_balances) {
     if (balance.m_hasPlan) {
-      balance.m_granted = balance.m_planned;
+      balance.m_granted = balance.m_planned.m_granted;
+      balance.m_working = balance.m_planned.m_working;
       balance.m_hasPlan = false;
+      CloseReserve(balance);
     }
   }
 }
@@ -515,7 +608,8 @@
 {
   for (auto& [account, balance] : m_balances) {
     if (balance.m_hasPlan) {
-      balance.m_granted = balance.OwnLimit();
+      balance.m_granted = balance.OwnGrant();
+      balance.m_working = balance.OwnWorking();
       balance.m_hasPlan = false;
     }
   }
--- a/lib/Gateway/CreditRecord.cpp
+++ b/lib/Gateway/CreditRecord.cpp
@@ -72,10 +72,11 @@
 }
 
 void
-AccountCredit::Close(const HolderId& aLife)
+AccountCredit::Close(const HolderId& aLife, bool aIsReserveClosed)
 {
   if (const auto grant = m_grants.extract(aLife)) {
-    m_closed += grant.mapped().m_granted;
+    m_closed +=
+      aIsReserveClosed ? grant.mapped().m_working : grant.mapped().m_granted;
     m_closedSpent += grant.mapped().m_spent;
   }
 }
@@ -86,8 +87,11 @@
   json grants = json::array();
   for (const auto& [life, grant] : m_grants) {
     if (grant != CreditGrant{}) {
-      grants.push_back(
-        { life.Str(), grant.m_granted, grant.m_spent, grant.m_rate });
+      grants.push_back({ life.Str(),
+                         grant.m_granted,
+                         grant.m_working,
+                         grant.m_spent,
+                         grant.m_rate });
     }
   }
   return json{
@@ -109,7 +113,8 @@
       credit.m_grants[HolderId(grant.at(0).get<std::string>())] = {
         grant.at(1).get<std::uint64_t>(),
         grant.at(2).get<std::uint64_t>(),
-        grant.at(3).get<std::uint64_t>()
+        grant.at(3).get<std::uint64_t>(),
+        grant.at(4).get<std::uint64_t>()
       };
     }
     return credit;
--- a/unittests/Gateway/CreditFleet.h
+++ b/unittests/Gateway/CreditFleet.h
@@ -5,9 +5,11 @@
 #pragma once
 
 #include "bergamotpaddle/Gateway/CreditBook.h"
+#include "bergamotpaddle/Gateway/ReservePledge.h"
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -102,11 +104,14 @@
   static constexpr Duration kDrawInterval = std::chrono::milliseconds(1000);
   static constexpr Duration kShortInterval = std::chrono::milliseconds(150);
   static constexpr Duration kAwaitedInterval = std::chrono::milliseconds(50);
+  static constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
   static constexpr std::size_t kUnpacedRouters = 5;
 
   struct Router
   {
     std::unique_ptr<CreditBook> m_book; ///< Null without power.
+    ReservePledges m_pledges;
+    PledgeWitness m_witness;
     int m_life = 0;
     Instant m_backAt{};
     Instant m_askDue{};
@@ -135,14 +140,57 @@
   void Start(std::size_t aNumber)
   {
     Router& router = m_routers[aNumber];
-    const std::string host = "r" + std::to_string(aNumber);
-    const HolderId life(host + "/" + std::to_string(++router.m_life));
+    const HolderId before = LifeOf(aNumber);
+    ++router.m_life;
+    router.m_pledges = {};
+    router.m_witness = {};
     router.m_book = std::make_unique<CreditBook>(
-      CreditHolder{ host, life, host + ":7200" }, CreditOptions{});
+      CreditHolder{ NameOf(aNumber), LifeOf(aNumber), NameOf(aNumber) },
+      CreditOptions{});
     router.m_book->SetPrepaid(kSharedAccount, m_prepaid);
+    const bool isProven = std::any_of(
+      m_routers.begin(), m_routers.end(), [&](const Router& aOther) {
+        return aOther.m_book && aOther.m_witness.Holds(before, m_now);
+      });
+    if (isProven) {
+      router.m_book->NoteReserveClosed(before);
+    }
     Draw(router);
   }
 
+  static std::string NameOf(std::size_t aNumber)
+  {
+    return "r" + std::to_string(aNumber);
+  }
+
+  HolderId LifeOf(std::size_t aNumber) const
+  {
+    return HolderId(NameOf(aNumber) + "/" +
+                    std::to_string(m_routers[aNumber].m_life));
+  }
+
+  /// Every router has its witnesses' probes answered.
+  void Probe()
+  {
+    std::vector<std::string> names;
+    std::map<std::string, std::size_t> numbers;
+    for (std::size_t i = 0; i < m_routers.size(); ++i) {
+      if (m_routers[i].m_book) {
+        names.push_back(NameOf(i));
+        numbers[names.back()] = i;
+      }
+    }
+    for (const auto& [witness, number] : numbers) {
+      for (const std::string& router : RoutersToWitness(witness, names)) {
+        const std::size_t other = numbers.at(router);
+        if (m_routers[other].m_pledges.Pledge(witness, m_now)) {
+          m_routers[number].m_witness.NotePledge(LifeOf(other), m_now);
+        }
+      }
+    }
+    m_probeDue = m_now + kProbeInterval;
+  }
+
   void ChooseHome()
   {
     const auto home =
@@ -206,6 +254,9 @@
       }
     }
     ChooseHome();
+    if (m_now >= m_probeDue) {
+      Probe();
+    }
     std::erase_if(m_running, [this](const Pending& aPending) {
       const bool isOver = m_now >= aPending.m_until || !IsAlive(aPending);
       if (isOver) {
@@ -264,6 +315,7 @@
   std::vector<Router> m_routers;
   CreditRecord m_record;
   Instant m_now{};
+  Instant m_probeDue{};
   std::size_t m_home = 0;
   std::vector<Pending> m_waiting;
   std::vector<Pending> m_running;
