Demand is what a home lent, and its working part is bounded by what is left of the budget

Cause: wishes that a home could not meet were asked for again every 40 to 400 ms and counted as demand each time, so a short home drew many seconds of its true demand, which died with it.

Change: what was lent is demand; what was not is covered by the next draw, once. Ruled out: reserves (all were proven).

--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -36,10 +36,14 @@
   /// Demand that a grant covers without the platform. The longest loss of the
   /// platform seen on the users' sites is 8.7 s.
   Duration m_headroom = std::chrono::seconds(10);
-  /// Demand that is spent from draw to draw, the reserves being closed: two
-  /// draws, and one that is lost.
-  Duration m_workingSpan = std::chrono::seconds(2);
-  double m_workingDraws = 2.5;
+  /// Demand that is spent from draw to draw, the reserves being closed: a draw,
+  /// and one that is lost.
+  Duration m_workingSpan = std::chrono::milliseconds(1500);
+  double m_workingDraws = 2;
+  /// Part of what is left of a budget that is not in reserve at a time. An
+  /// account in great demand is drawn more often, not in larger steps: these
+  /// are lost with the home.
+  double m_mostWorkingShare = 0.06;
   /// Span of the moving average of demand.
   Duration m_demandSpan = std::chrono::seconds(4);
   /// Least headroom, in requests of the account's usual size.
@@ -251,7 +255,7 @@
     std::uint64_t m_awaited = 0;  ///< Requests wait for it.
     bool m_hasRefused = false;    ///< For want of credit, since asked last.
     Drawer m_drawer = Drawer::kEach;
-    bool m_isUnmet = false;              ///< As home, of what was asked of us.
+    std::uint64_t m_unmet = 0;           ///< As home, asked of us and not lent.
     Instant m_emptyUntil{};              ///< The home had nothing to lend.
     std::optional<CreditLoan> m_told;    ///< What the home said last.
     std::uint64_t m_freeAtLastRead = 0;  ///< Not granted to anyone.
--- a/lib/Gateway/CreditBook.cpp
+++ b/lib/Gateway/CreditBook.cpp
@@ -114,7 +114,7 @@
   return std::any_of(
     m_balances.begin(), m_balances.end(), [](const auto& aEntry) {
       const Balance& balance = aEntry.second;
-      const bool isWanted = balance.m_awaited > 0 || balance.m_isUnmet;
+      const bool isWanted = balance.m_awaited + balance.m_unmet > 0;
       return !balance.IsBorrowed() && isWanted;
     });
 }
@@ -233,10 +233,13 @@
       continue;
     }
     Balance& balance = found->second;
-    NoteDemandRate(balance, wanted, aNow);
     const std::uint64_t lent = std::min(wanted, Spendable(account));
+    // What is not lent is asked for again and would count twice as demand.
+    NoteDemandRate(balance, lent, aNow);
     balance.m_lent += lent;
-    balance.m_isUnmet = lent < wanted && balance.m_freeAtLastRead > 0;
+    if (balance.m_freeAtLastRead > 0) {
+      balance.m_unmet += wanted - lent;
+    }
     const std::uint64_t spent = balance.m_spentByOthers + balance.OwnSpent();
     loans[account] = { lent,
                        balance.m_prepaid - std::min(balance.m_prepaid, spent),
@@ -491,7 +494,7 @@
     CreditGrant& grant = credit.m_grants[m_self.m_life];
     const CreditGrant inRecord = grant;
     grant = PlannedGrant(balance, credit, aNow);
-    balance.m_isUnmet = false;
+    balance.m_unmet = 0;
     const bool isConfirmed = grant.m_granted == inRecord.m_granted &&
                              grant.m_working == inRecord.m_working &&
                              grant.m_granted == balance.m_granted &&
