A new home draws for the demand of the one before it, and for wishes that it did not meet

Change: who is asked draws, though it takes another router for the home; a home draws for no less than the demand of the grants in the record; a loan says whether more is coming, and then requests wait; unmet wishes and the bound are in force.

--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -68,9 +68,9 @@
   Duration m_idleSpan = std::chrono::seconds(2);
   /// A borrower that holds more than it wants by this factor returns the rest.
   double m_giveBackAbove = 1.5;
-  /// A home that could lend nothing is asked again after this time: a draw,
-  /// with a conflict or two.
-  Duration m_emptyHold = std::chrono::milliseconds(400);
+  /// A home that has nothing to lend and can draw nothing is asked again after
+  /// this time: a few of its draws.
+  Duration m_emptyHold = std::chrono::milliseconds(1000);
   /// A grant above the wanted one by this factor is lowered.
   double m_returnAbove = 1.5;
 };
@@ -110,6 +110,7 @@
   /// any request may still get.
   std::uint64_t m_rest = 0;
   std::uint64_t m_prepaid = 0; ///< The budget that m_rest is of.
+  bool m_isMoreComing = false; ///< The home draws for what it did not lend.
   auto operator<=>(const CreditLoan&) const = default;
 };
 
@@ -290,6 +291,9 @@
   static void CloseReserve(Balance& aBalance);
   static CreditVerdict TakeFrom(Balance& aBalance, std::uint64_t aMost);
   double RateAt(const Balance& aBalance, Instant aNow) const;
+  /// Demand that this router draws for: as a home, no less than that of the
+  /// homes before it, whose grants stand in the record until they are closed.
+  double DrawnRate(const Balance& aBalance, Instant aNow) const;
   void NoteDemand(Balance& aBalance, std::uint64_t aTokens, Instant aNow) const;
   void NoteDemandRate(Balance& aBalance,
                       std::uint64_t aTokens,
@@ -308,8 +312,8 @@
                             std::uint64_t aPresent,
                             std::uint64_t aHeadroom) const;
   void TakeRead(Balance& aBalance, const AccountCredit& aCredit) const;
-  /// Faded: what all hold beyond the least, as a budget nears its end.
-  double Faded(const Balance& aBalance) const;
+  /// The most that all routers hold ahead of an account.
+  double MostHeld(const Balance& aBalance) const;
   /// Takes grants of earlier lives of this host as spent; true if any were.
   bool CloseEarlierLives(AccountCredit& aCredit) const;
   /// The grant that is wanted, given what \p aCredit says of all.
--- a/lib/Gateway/CreditBook.cpp
+++ b/lib/Gateway/CreditBook.cpp
@@ -216,7 +216,7 @@
     Balance& balance = m_balances[account];
     balance.m_borrowed += loan.m_lent;
     balance.m_told = loan;
-    if (loan.m_lent == 0) {
+    if (loan.m_lent == 0 && !loan.m_isMoreComing) {
       balance.m_emptyUntil = aNow + m_options.m_emptyHold;
     }
   }
@@ -243,7 +243,8 @@
     const std::uint64_t spent = balance.m_spentByOthers + balance.OwnSpent();
     loans[account] = { lent,
                        balance.m_prepaid - std::min(balance.m_prepaid, spent),
-                       balance.m_prepaid };
+                       balance.m_prepaid,
+                       lent < wanted && balance.m_freeAtLastRead > 0 };
   }
   return loans;
 }
@@ -318,6 +319,15 @@
          std::exp(-passed / Seconds(m_options.m_demandSpan));
 }
 
+double
+CreditBook::DrawnRate(const Balance& aBalance, Instant aNow) const
+{
+  const double rate = RateAt(aBalance, aNow);
+  return aBalance.m_drawer == Drawer::kHome
+           ? std::max(rate, aBalance.m_rateOfOthers)
+           : rate;
+}
+
 void
 CreditBook::NoteDemand(Balance& aBalance,
                        std::uint64_t aTokens,
@@ -356,11 +366,13 @@
 }
 
 double
-CreditBook::Faded(const Balance& aBalance) const
+CreditBook::MostHeld(const Balance& aBalance) const
 {
-  return m_options.m_fadeSlope *
-         (static_cast<double>(aBalance.m_rest) -
-          m_options.m_fadeEnd * static_cast<double>(aBalance.m_prepaid));
+  const auto prepaid = static_cast<double>(aBalance.m_prepaid);
+  const double faded = m_options.m_fadeSlope *
+                       (static_cast<double>(aBalance.m_rest) -
+                        m_options.m_fadeEnd * prepaid);
+  return std::max(faded, m_options.m_leastShare * prepaid);
 }
 
 std::uint64_t
@@ -370,8 +382,7 @@
   const double holders =
     aBalance.m_drawer == Drawer::kHome ? 1.0 : static_cast<double>(m_holders);
   const double ofFree = aShare * static_cast<double>(aBalance.m_freeAtLastRead);
-  return static_cast<std::uint64_t>(
-    std::min(ofFree, std::max(Faded(aBalance), 0.0)) / holders);
+  return static_cast<std::uint64_t>(ofFree / holders);
 }
 
 std::uint64_t
@@ -383,10 +394,12 @@
   const double span =
     std::max(Seconds(m_options.m_workingSpan),
              Seconds(m_drawInterval) * m_options.m_workingDraws);
+  const double ofRest =
+    m_options.m_mostWorkingShare * static_cast<double>(aBalance.m_rest);
+  const double byDemand = std::min(DrawnRate(aBalance, aNow) * span, ofRest);
   const double needed =
-    std::max(RateAt(aBalance, aNow) * span,
-             m_options.m_minRequests * aBalance.m_usualRequest);
-  return std::max({ aBalance.m_awaited,
+    std::max(byDemand, m_options.m_minRequests * aBalance.m_usualRequest);
+  return std::max({ aBalance.m_awaited + aBalance.m_unmet,
                     static_cast<std::uint64_t>(needed),
                     WithoutDemand(aBalance, m_options.m_initialWorkingShare) });
 }
@@ -397,12 +410,11 @@
   if (aBalance.IsBorrowed()) {
     return 0;
   }
-  const auto prepaid = static_cast<double>(aBalance.m_prepaid);
-  const double rate = RateAt(aBalance, aNow);
-  const double ofDemand =
-    rate == 0 ? 0 : rate / (rate + aBalance.m_rateOfOthers);
-  const double most =
-    std::max(Faded(aBalance), m_options.m_leastShare * prepaid) * ofDemand;
+  const double rate = DrawnRate(aBalance, aNow);
+  const bool isHome = aBalance.m_drawer == Drawer::kHome;
+  const double all = isHome ? rate : rate + aBalance.m_rateOfOthers;
+  const double ofDemand = rate == 0 ? 0 : rate / all;
+  const double most = MostHeld(aBalance) * ofDemand;
   const double byDemand = std::min(rate * Seconds(m_options.m_headroom), most);
   return std::max({ WorkingHeadroom(aBalance, aNow),
                     static_cast<std::uint64_t>(byDemand),
--- /dev/null
+++ b/lib/Gateway/CreditHomes.cpp
@@ -0,0 +1,89 @@
+#include "bergamotpaddle/Gateway/CreditHomes.h"
+
+#include "bergamotpaddle/Support/Hash.h"
+
+#include <algorithm>
+
+namespace bergamotpaddle {
+
+CreditHomes::CreditHomes(std::string aSelf,
+                         Instant aStartedAt,
+                         CreditHomesOptions aOptions)
+  : m_self(std::move(aSelf))
+  , m_startedAt(aStartedAt)
+  , m_options(aOptions)
+{
+}
+
+void
+CreditHomes::Choose(const std::vector<AccountId>& aAccounts,
+                    const std::vector<std::string>& aReachable,
+                    std::size_t aKnown,
+                    Instant aNow)
+{
+  std::vector<std::string> routers = { m_self };
+  for (const std::string& peer : aReachable) {
+    const auto silent = m_silentUntil.find(peer);
+    if (silent == m_silentUntil.end() || aNow >= silent->second) {
+      routers.push_back(peer);
+    }
+  }
+  m_homes.clear();
+  if (std::max(routers.size(), aKnown) <= m_options.m_mostWithoutHomes) {
+    return;
+  }
+  const bool isSettling =
+    aNow - m_startedAt < m_options.m_settleTime && routers.size() * 2 < aKnown;
+  for (const AccountId& account : aAccounts) {
+    if (isSettling) {
+      m_homes[account].clear();
+      continue;
+    }
+    const auto weight = [&account](const std::string& aRouter) {
+      return RendezvousWeight(account.Str(), aRouter);
+    };
+    m_homes[account] = *std::max_element(
+      routers.begin(),
+      routers.end(),
+      [&weight](const std::string& aLeft, const std::string& aRight) {
+        return weight(aLeft) < weight(aRight);
+      });
+  }
+}
+
+CreditBook::Drawer
+CreditHomes::DrawerOf(const AccountId& aAccount, Instant aNow) const
+{
+  const auto home = m_homes.find(aAccount);
+  if (home == m_homes.end()) {
+    return CreditBook::Drawer::kEach;
+  }
+  if (home->second == m_self) {
+    return CreditBook::Drawer::kHome;
+  }
+  const auto acting = m_actingUntil.find(aAccount);
+  return acting != m_actingUntil.end() && aNow < acting->second
+           ? CreditBook::Drawer::kHome
+           : CreditBook::Drawer::kOther;
+}
+
+std::string
+CreditHomes::HomeOf(const AccountId& aAccount) const
+{
+  const auto home = m_homes.find(aAccount);
+  return home == m_homes.end() ? std::string() : home->second;
+}
+
+void
+CreditHomes::NoteSilent(const std::string& aRouter, Instant aNow)
+{
+  m_silentUntil[aRouter] = aNow + m_options.m_silence;
+}
+
+void
+CreditHomes::NoteAsked(const AccountId& aAccount, Instant aNow)
+{
+  m_actingUntil[aAccount] = aNow + m_options.m_actingSpan;
+}
+
+} // namespace bergamotpaddle
--- a/unittests/Gateway/CreditFleet.h
+++ b/unittests/Gateway/CreditFleet.h
@@ -105,7 +105,7 @@
   static constexpr Duration kShortInterval = std::chrono::milliseconds(150);
   static constexpr Duration kAwaitedInterval = std::chrono::milliseconds(50);
   static constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
-  static constexpr std::size_t kUnpacedRouters = 10;
+  static constexpr std::size_t kUnpacedRouters = 5;
 
   struct Router
   {
--- a/unittests/Gateway/CreditHomeTest.cpp
+++ b/unittests/Gateway/CreditHomeTest.cpp
@@ -101,6 +101,35 @@
     CHECK(other.CanObtain(kCafe, At(3)));
   }
 
+  // Requests were refused for 400 ms while the home drew within 50 ms.
+  SECTION("that is about to draw is waited for and asked again at once")
+  {
+    other.Await(kCafe, 400'000);
+    AskHome(other, home, At(2));
+    CHECK(other.CanObtain(kCafe, At(2)));
+    Draw(home, record, At(2.05));
+    AskHome(other, home, At(2.05));
+    CHECK(other.AllotAwaited(kCafe, 400'000) == CreditVerdict::kAllotted);
+  }
+
+  // A new home drew single requests for a second and a half.
+  SECTION("that follows another one draws for the demand of that one")
+  {
+    for (int step = 0; step < 100; ++step) {
+      other.Await(kCafe, 2'000);
+      AskHome(other, home, At(2 + step * 0.05));
+      Draw(home, record, At(2 + step * 0.05));
+      if (other.AllotAwaited(kCafe, 2'000) != CreditVerdict::kAllotted) {
+        other.StopAwaiting(kCafe, 2'000);
+      }
+    }
+    CreditBook next(Router("next"), {});
+    next.SetPrepaid(kCafe, kPrepaid);
+    next.SetDrawer(kCafe, Drawer::kHome);
+    Draw(next, record, At(7));
+    CHECK(next.Spendable(kCafe) >= 40'000); // A second of it.
+  }
+
   SECTION("is exhausted for the others as well once that is certain")
   {
     record.m_accounts[kCafe].m_closed = kPrepaid;
