What is held ahead is bounded by half of what is in reach, not faded away near a budget's end

Cause: what is held ahead faded to 0.025 of the budget once 0.35 was left, because kills took it. They do not any more, as witnesses prove reserves; only a loss of all routers at once does. Class: a safeguard against a loss that was mended, left in place.

Change: all routers hold at the most half of what is free or unspent at home. Ruled out: slow opening (17 homes opened in 0.05 to 2 s).

--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -54,12 +54,9 @@
   /// Of that, what is not in reserve: a second of the demand that uses a budget
   /// up in a minute.
   double m_initialWorkingShare = 0.02;
-  /// What routers hold dies with them, so a budget near its end is drawn in
-  /// small steps. All together hold the part of the budget by which its rest
-  /// exceeds m_fadeEnd, times m_fadeSlope, and at least m_leastShare.
-  double m_fadeEnd = 0.35;
-  double m_fadeSlope = 1.0;
-  double m_leastShare = 0.025;
+  /// Part of what is in reach that all routers together hold ahead. Reserves
+  /// are lost if all routers lose power, and out of reach while a host is down.
+  double m_mostHeldShare = 0.5;
   /// Demand that a borrower holds ahead: three rounds of calls to homes. What
   /// it holds is out of reach of all other routers.
   Duration m_borrowedSpan = std::chrono::seconds(1);
--- a/lib/Gateway/CreditBook.cpp
+++ b/lib/Gateway/CreditBook.cpp
@@ -368,11 +368,10 @@
 double
 CreditBook::MostHeld(const Balance& aBalance) const
 {
-  const auto prepaid = static_cast<double>(aBalance.m_prepaid);
-  const double faded = m_options.m_fadeSlope *
-                       (static_cast<double>(aBalance.m_rest) -
-                        m_options.m_fadeEnd * prepaid);
-  return std::max(faded, m_options.m_leastShare * prepaid);
+  const std::uint64_t limit = aBalance.GrantLimit();
+  const std::uint64_t own = limit - std::min(limit, aBalance.Used());
+  return m_options.m_mostHeldShare *
+         static_cast<double>(aBalance.m_freeAtLastRead + own);
 }
 
 std::uint64_t
