--- a/include/bergamotpaddle/Support/Time.h
+++ b/include/bergamotpaddle/Support/Time.h
@@ -20,6 +20,12 @@
 /// Time since an origin that is private to the process.
 using Instant = EventClock::time_point;
 
+inline double
+Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
 /// What a decision component may ask of time. Shells back it by the event
 /// loop; tests back it by virtual time.
 struct TimerHooks
