--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Gateway/CreditBook.h
@@ -56,7 +56,7 @@
   double m_initialWorkingShare = 0.02;
   /// Part of what is in reach that all routers together hold ahead. Reserves
   /// are lost if all routers lose power, and out of reach while a host is down.
-  double m_mostHeldShare = 0.5;
+  double m_mostHeldShare = 0.3;
   /// Demand that a borrower holds ahead: three rounds of calls to homes. What
   /// it holds is out of reach of all other routers.
   Duration m_borrowedSpan = std::chrono::seconds(1);
