--- a/unittests/Gateway/ReservePledgeTest.cpp
+++ b/unittests/Gateway/ReservePledgeTest.cpp
@@ -176,3 +176,34 @@
     }
   }
 }
+
+// Late outages were refused with 0.29 of all credit free; half of it held ahead
+// left too little after a loss of all routers.
+TEST_CASE("a budget near its end has a reserve, but not all of it",
+          "[credit][reserve][short]")
+{
+  constexpr std::uint64_t kPrepaid = 1'000'000;
+  constexpr std::uint64_t kLeft = 300'000;
+  CreditRecord record;
+  record.m_accounts[kCafe].m_closed = kPrepaid - kLeft;
+  CreditBook home({ "cafe-1", kLife, "a" }, {});
+  home.SetPrepaid(kCafe, kPrepaid);
+  home.SetDrawer(kCafe, CreditBook::Drawer::kHome);
+  std::uint64_t spent = 0;
+  // The budget lasts for 44 s of this demand.
+  for (int step = 0; step < 20; ++step) {
+    const Instant now = At(step * 0.2);
+    if (const auto plan = home.Plan(record, now)) {
+      home.Confirm();
+      record.Apply(*plan);
+    }
+    if (home.Allot(kCafe, 4'500, now) == CreditVerdict::kAllotted) {
+      spent += 4'500;
+    }
+  }
+  const CreditGrant grant = record.m_accounts[kCafe].m_grants[kLife];
+  const std::uint64_t held = grant.m_granted - spent;
+  constexpr std::uint64_t kSecondOfDemand = 22'500;
+  CHECK(grant.m_granted - grant.m_working >= kSecondOfDemand);
+  CHECK(held * 2 <= kLeft - spent); // As much is left after a loss of all.
+}
