What a router spent itself counts once

Test: what a router spent itself counts once (failed before: exhausted with more than a tenth of the budget left).

--- a/lib/Gateway/CreditDraws.cpp
+++ b/lib/Gateway/CreditDraws.cpp
@@ -174,7 +174,9 @@
 {
   // Our own entry counts as what we may spend now: what the record says beyond
   // that is a lowering of ours that did not arrive.
-  aCredit.m_grants[m_self.m_life].m_granted = aBalance.OwnGrant();
+  CreditGrant own;
+  own.m_granted = aBalance.OwnGrant();
+  aCredit.m_grants[m_self.m_life] = own;
   TakeRead(aBalance, aCredit);
   const std::uint64_t most = aBalance.GrantLimit() + aBalance.m_freeAtLastRead;
   const std::uint64_t wanted = std::min(most,
--- a/unittests/Gateway/CreditBookTest.cpp
+++ b/unittests/Gateway/CreditBookTest.cpp
@@ -158,6 +158,23 @@
     }
   }
 
+  // Own spending, counted twice, once made a budget look exhausted at half of
+  // it.
+  SECTION("what a router spent itself counts once")
+  {
+    for (int step = 0; step < 120; ++step) {
+      const Instant now = At(step * 0.5);
+      Draw(first, record, now);
+      if (first.Allot(kCafe, 5'000, now) == CreditVerdict::kAllotted) {
+        first.Settle(kCafe, 5'000, 5'000);
+      }
+    }
+    Draw(first, record, At(61));
+    REQUIRE(first.Status(kCafe, At(61)).m_spent > kPrepaid / 2);
+    CHECK(first.Allot(kCafe, kPrepaid / 10, At(61)) !=
+          CreditVerdict::kExhausted);
+  }
+
   SECTION("accounts and routers survive their encoding, garbage is refused")
   {
     Draw(first, record, At(0));
