Log why a caller's connection is closed during a response

A new line, caller.closed, and exchange.failed now carry the cause (upstream, silence, deadline, caller), how long the upstream had been silent, the events that the caller had, and whether an attempt, a retry of the budget and an untried upstream were left. RetryBudget::HasRetry answers without consuming. Responses are unchanged.

--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -76,6 +76,9 @@
   std::string UpstreamHead() const;
   bool IsInvalidResponse(const UpstreamResponse& aResponse) const;
   void NoteExchange(ExchangeResult aResult);
+  /// Adds to \p aLine why the latest exchange ended, how long the upstream had
+  /// been silent, what the caller had received, and what was left for a retry.
+  void AppendExchangeState(LogLine& aLine) const;
   void ArmIdleTimeout(Duration aTimeout);
   /// Time after which the request is sent to another upstream if no response
   /// has arrived; nullopt if it must not be repeated.
@@ -122,6 +125,7 @@
   int m_status = 0;
   std::string m_errorMessage;
   std::optional<Duration> m_timeToFirstByte;
+  Instant m_upstreamHeardAt{}; ///< Start of the exchange, or bytes since.
   std::optional<Instant> m_lastEventAt;
   Duration m_longestPause{ 0 };
 };
--- a/include/bergamotpaddle/Forwarding/UpstreamExchange.h
+++ b/include/bergamotpaddle/Forwarding/UpstreamExchange.h
@@ -26,6 +26,11 @@
   kIdleTimeout, ///< Connecting or waiting for data took too long.
 };
 
+/// Names \p aReason for the log; without an abort the upstream ended the
+/// exchange.
+std::string_view
+Describe(AbortReason aReason);
+
 /// An exchange with an upstream. Every pending operation ends when `Abort` is
 /// called.
 class UpstreamExchange : public std::enable_shared_from_this<UpstreamExchange>
--- a/include/bergamotpaddle/Gateway/RetryBudget.h
+++ b/include/bergamotpaddle/Gateway/RetryBudget.h
@@ -34,6 +34,8 @@
 
   /// Records a request to \p aService, not counting its retries.
   void NoteRequest(const ServiceId& aService, Instant aNow);
+  /// Whether a retry is left in the window.
+  bool HasRetry(const ServiceId& aService, Instant aNow);
   /// Consumes one retry; returns false if none is left in the window.
   bool Consume(const ServiceId& aService, Instant aNow);
 
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -116,6 +116,7 @@
 RequestRun::RunExchange()
 {
   const Instant startedAt = m_state->Now();
+  m_upstreamHeardAt = startedAt;
   m_progress->NoteSending(m_choice.m_upstream);
   m_exchange = std::make_shared<UpstreamExchange>(m_executor);
   if (m_isCallerDisconnected) {
@@ -229,6 +230,7 @@
     co_return m_isCallerDisconnected ? ExchangeResult::kCallerDisconnected
                                      : ExchangeResult::kIncomplete;
   }
+  m_upstreamHeardAt = m_state->Now();
   UpstreamResponse response = m_state->m_dialect.m_readResponse(
     head->m_status, head->m_reason, head->m_fields);
   if (response.m_load) {
@@ -260,6 +262,9 @@
   while (!m_exchange->IsComplete()) {
     const std::string bytes = co_await m_exchange->ReadBody();
     body += bytes;
+    if (!bytes.empty()) {
+      m_upstreamHeardAt = m_state->Now();
+    }
     m_countedResponseBytes += bytes.size();
     m_state->m_bufferedResponseBytes += bytes.size();
     if (m_isCallerDisconnected) {
@@ -305,6 +310,9 @@
     if (m_isCallerDisconnected) {
       co_return ExchangeResult::kCallerDisconnected;
     }
+    if (!bytes.empty()) {
+      m_upstreamHeardAt = m_state->Now();
+    }
     const std::string events = splitter.Consume(bytes);
     if (splitter.PartialBytes() > m_state->m_options.m_maxEventBytes) {
       m_errorMessage = "an event of the stream is too long";
@@ -396,15 +404,16 @@
     m_state->m_upstreams.NoteOutcome(m_choice.m_upstream, health, now);
   }
   if (health != ExchangeOutcome::kSucceeded) {
-    m_state->Log(
-      LogLine("exchange.failed")
-        .Text("request", m_request.m_attemptId)
-        .Text("upstream", m_choice.m_upstream.Str())
-        .Number("end", static_cast<int>(aResult))
-        .Number("aborted", static_cast<int>(m_exchange->GetAbortReason()))
-        .Text("why", m_errorMessage)
-        .Text("error", m_exchange->Error())
-        .Milliseconds("after_ms", Elapsed()));
+    LogLine line("exchange.failed");
+    line.Text("request", m_request.m_attemptId)
+      .Text("upstream", m_choice.m_upstream.Str())
+      .Number("end", static_cast<int>(aResult))
+      .Number("aborted", static_cast<int>(m_exchange->GetAbortReason()))
+      .Text("why", m_errorMessage)
+      .Text("error", m_exchange->Error())
+      .Milliseconds("after_ms", Elapsed());
+    AppendExchangeState(line);
+    m_state->Log(line);
   }
 }
 
@@ -443,6 +452,10 @@
     // for a complete one.
     m_code = m_isCallerDisconnected ? ResultCode::kCancelled
                                     : ResultCode::kUpstreamFailed;
+    LogLine line("caller.closed");
+    line.Text("request", m_request.m_attemptId);
+    AppendExchangeState(line);
+    m_state->Log(line);
     m_caller->Close();
     co_return;
   }
@@ -519,45 +532,4 @@
   }
 }
 
-void
-RequestRun::LogEnd() const
-{
-  LogLine line("request.end");
-  line.Text("request", m_request.m_attemptId)
-    .Number("code", static_cast<int>(m_code))
-    .Number("status", m_status)
-    .Text("route", m_route != nullptr ? m_route->m_name : "")
-    .Text("account", m_account != nullptr ? m_account->m_id.Str() : "")
-    .Number("config",
-            m_table ? static_cast<std::int64_t>(m_table->Version()) : 0)
-    .Milliseconds("total_ms", Elapsed());
-  if (m_timeToFirstByte) {
-    line.Milliseconds("first_ms", *m_timeToFirstByte)
-      .Milliseconds("pause_ms", m_longestPause);
-  }
-  if (m_progress && !m_progress->Tried().empty()) {
-    line.Text("upstream", m_choice.m_upstream.Str())
-      .Number("unread", m_choice.m_uncachedTokens)
-      .Number("beside", m_choice.m_requests)
-      .Milliseconds("expected_ms", m_choice.m_expected)
-      .Number("sends", static_cast<std::int64_t>(m_progress->Tried().size()))
-      .Number("events", static_cast<std::int64_t>(m_eventsDelivered));
-  }
-  if (m_account != nullptr && m_account->m_prepaid) {
-    const CreditStatus credit =
-      m_state->m_credit.Status(m_account->m_id, m_state->Now());
-    line.Number("allotted", static_cast<std::int64_t>(m_allotted))
-      .Number("charged", static_cast<std::int64_t>(m_charged))
-      .Milliseconds("credit_wait_ms", m_creditWaitTime)
-      .Number("credit_limit", static_cast<std::int64_t>(credit.m_limit))
-      .Number("credit_used", static_cast<std::int64_t>(credit.m_used))
-      .Number("credit_free", static_cast<std::int64_t>(credit.m_free))
-      .Number("prepaid", static_cast<std::int64_t>(credit.m_prepaid));
-  }
-  if (!m_errorMessage.empty()) {
-    line.Text("why", m_errorMessage);
-  }
-  m_state->Log(line);
-}
-
 } // namespace bergamotpaddle
--- a/lib/Forwarding/UpstreamExchange.cpp
+++ b/lib/Forwarding/UpstreamExchange.cpp
@@ -41,6 +41,22 @@
 
 } // namespace
 
+std::string_view
+Describe(AbortReason aReason)
+{
+  switch (aReason) {
+    case AbortReason::kNone:
+      return "upstream";
+    case AbortReason::kCallerDisconnected:
+      return "caller";
+    case AbortReason::kDeadline:
+      return "deadline";
+    case AbortReason::kIdleTimeout:
+      return "silence";
+  }
+  return "";
+}
+
 UpstreamExchange::UpstreamExchange(const asio::any_io_executor& aExecutor)
   : m_socket(aExecutor)
   , m_buffer(kMaxUnparsedBytes)
--- a/lib/Gateway/RetryBudget.cpp
+++ b/lib/Gateway/RetryBudget.cpp
@@ -35,17 +35,23 @@
 }
 
 bool
-RetryBudget::Consume(const ServiceId& aService, Instant aNow)
+RetryBudget::HasRetry(const ServiceId& aService, Instant aNow)
 {
-  History& history = PrunedHistory(aService, aNow);
+  const History& history = PrunedHistory(aService, aNow);
   const double bound =
     m_options.m_safetyFactor *
     (m_options.m_ratio * static_cast<double>(history.m_requests.size()) +
      m_options.m_allowance / static_cast<double>(m_routerCount));
-  if (static_cast<double>(history.m_retries.size()) + 1 > bound) {
+  return static_cast<double>(history.m_retries.size()) + 1 <= bound;
+}
+
+bool
+RetryBudget::Consume(const ServiceId& aService, Instant aNow)
+{
+  if (!HasRetry(aService, aNow)) {
     return false;
   }
-  history.m_retries.push_back(aNow);
+  m_histories[aService].m_retries.push_back(aNow);
   return true;
 }
 
--- a/unittests/Platform/Loopback.h
+++ b/unittests/Platform/Loopback.h
@@ -7,14 +7,18 @@
 
 #include "bergamotpaddle/Forwarding/GatewayServer.h"
 
+#include <array>
 #include <boost/asio.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <deque>
+#include <fcntl.h>
 #include <sstream>
 #include <string>
+#include <system_error>
+#include <unistd.h>
 
 namespace bergamotpaddle {
 
@@ -30,6 +34,8 @@
     std::string m_response;    ///< Raw bytes; "{ID}" is the attempt's id.
     bool m_isKeptOpen = false; ///< Keep the connection open after the response.
     bool m_isReset = false;    ///< Close the connection with a TCP reset.
+    std::chrono::milliseconds m_pause{ 0 }; ///< Before the continuation.
+    std::string m_continuation; ///< Sent after the response and the pause.
   };
 
   explicit ScriptedUpstream(asio::io_context& aIo)
@@ -79,14 +85,24 @@
       script = m_scripts.front();
       m_scripts.pop_front();
     }
-    std::string response = script.m_response;
-    if (const std::size_t at = response.find("{ID}"); at != std::string::npos) {
-      response.replace(at, 4, AttemptIdOf(request));
+    for (std::string* part : { &script.m_response, &script.m_continuation }) {
+      if (const std::size_t at = part->find("{ID}"); at != std::string::npos) {
+        part->replace(at, 4, AttemptIdOf(request));
+      }
     }
     co_await asio::async_write(
       aSocket,
-      asio::buffer(response),
+      asio::buffer(script.m_response),
       asio::redirect_error(asio::use_awaitable, error));
+    if (!script.m_continuation.empty()) {
+      asio::steady_timer timer(aSocket.get_executor(), script.m_pause);
+      co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, error));
+      co_await asio::async_write(
+        aSocket,
+        asio::buffer(script.m_continuation),
+        asio::redirect_error(asio::use_awaitable, error));
+    }
     if (script.m_isKeptOpen) {
       char byte = 0;
       co_await aSocket.async_read_some(
@@ -103,12 +119,51 @@
   Tcp::acceptor m_acceptor;
 };
 
+/// A non-blocking pipe that receives the lines of a log.
+class LogPipe
+{
+public:
+  LogPipe()
+  {
+    if (::pipe2(m_ends.data(), O_NONBLOCK | O_CLOEXEC) != 0) {
+      throw std::system_error(errno, std::generic_category());
+    }
+  }
+  ~LogPipe()
+  {
+    ::close(m_ends[0]);
+    ::close(m_ends[1]);
+  }
+  LogPipe(const LogPipe&) = delete;
+  LogPipe& operator=(const LogPipe&) = delete;
+
+  int WriteEnd() const { return m_ends[1]; }
+  /// Returns the line of \p aEvent among those not read yet, or an empty
+  /// string.
+  std::string LineOf(const std::string& aEvent)
+  {
+    std::string text(65536, '\0');
+    const ssize_t count = ::read(m_ends[0], text.data(), text.size());
+    text.resize(count < 0 ? 0 : static_cast<std::size_t>(count));
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+      if (line.find("\"" + aEvent + "\"") != std::string::npos) {
+        return line;
+      }
+    }
+    return {};
+  }
+
+private:
+  std::array<int, 2> m_ends{};
+};
+
 /// A gateway with two upstreams of one service.
 class GatewayFixture
 {
 public:
   GatewayFixture()
-    : m_log(-1, "test", {})
+    : m_log(m_logPipe.WriteEnd(), "test", {})
     , m_state(platform::MakeDialect(),
               {},
               { "host", HolderId("host/1"), "127.0.0.1:1" },
@@ -189,6 +244,7 @@
 
   std::string m_callerAddress; ///< Where the gateway accepts callers.
   asio::io_context m_io{ 1 };
+  LogPipe m_logPipe;
   EventLog m_log;
   GatewayState m_state;
   GatewayServer m_server;
@@ -198,14 +254,6 @@
   /// Whether the gateway closed the connection of the last call.
   bool m_wasClosedByGateway = false;
 
-private:
-  static std::string Hex(std::size_t aNumber)
-  {
-    std::ostringstream text;
-    text << std::hex << aNumber;
-    return text.str();
-  }
-
   static RoutingConfig Config()
   {
     RoutingConfig config;
@@ -245,6 +293,14 @@
     return config;
   }
 
+private:
+  static std::string Hex(std::size_t aNumber)
+  {
+    std::ostringstream text;
+    text << std::hex << aNumber;
+    return text.str();
+  }
+
   void AddUpstream(const std::string& aId, const ScriptedUpstream& aUpstream)
   {
     UpstreamEntry entry;
