Give up a silent upstream only for a move that can be made

What callers saw: an upstream that paused for longer than a timeout cost the response although it would have gone on. A begun stream was closed without its end, a plain call got 502.

Cause: RequestRun::Tick aborted the exchange first; whether an attempt, a retry of the budget and another upstream were left was asked afterwards, when there was no way back.

Why the fix works: Failover::Reserve decides before the abort. It consumes the retry and keeps the chosen upstream for the next exchange, which does not consume another; if anything lacks, the exchange goes on until the deadline and the question is put again every 100 ms. The connect timeout, with nothing sent, is as it was.

A call that nothing can replace is now answered 504 at its deadline instead of 502 at its response timeout.

Elsewhere: the deadline, the connect timeout and a caller that disconnects also abort exchanges; after these nothing could have been delivered, or nothing was sent. lib/Net and lib/Router were not looked at.

--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -5,6 +5,7 @@
 #include "bergamotpaddle/Forwarding/WireDialect.h"
 #include "bergamotpaddle/Gateway/AdaptiveConnectTimeout.h"
 #include "bergamotpaddle/Gateway/CreditBook.h"
+#include "bergamotpaddle/Gateway/Failover.h"
 #include "bergamotpaddle/Gateway/Placement.h"
 #include "bergamotpaddle/Gateway/RetryBudget.h"
 #include "bergamotpaddle/Gateway/StoreAvailability.h"
@@ -65,14 +66,18 @@
   /// 1 ms. Afterwards the request, of which nothing was sent yet, is sent to
   /// another upstream.
   Duration m_connectTimeout = std::chrono::milliseconds(250);
-  /// A repeatable call without a stream is sent to another upstream if its
-  /// response has not arrived within the greater of this time and its latency
-  /// objective multiplied by `m_responseTimeoutFactor`.
+  /// A repeatable call without a stream is sent to another upstream, if one can
+  /// take it, when its response has not arrived within the greater of this time
+  /// and its latency objective multiplied by `m_responseTimeoutFactor`.
   Duration m_minResponseTimeout = std::chrono::milliseconds(400);
   double m_responseTimeoutFactor = 2;
-  /// Pause in a resumable stream after which it is resumed at another upstream.
+  /// Pause in a resumable stream after which it is resumed at another upstream,
+  /// if one can take it.
   /// Below the two seconds after which callers disconnect.
   Duration m_streamIdleTimeout = std::chrono::milliseconds(1200);
+  /// Interval at which a request whose upstream is silent checks whether it can
+  /// move: short compared with the time that callers wait after a pause.
+  Duration m_failoverCheckInterval = std::chrono::milliseconds(100);
   /// Shortest pause in a stream after which callers disconnect.
   Duration m_minCallerStreamTimeout = std::chrono::milliseconds(2000);
   /// With less time than this left to the deadline, no further attempt is made.
--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -58,8 +58,9 @@
   /// `ForwardingOptions::m_maxCreditWait` after arrival.
   Awaitable<AllotResult> AwaitCredit(std::uint64_t aMaxTokens);
   Awaitable<void> Forward();
-  /// Chooses the next upstream; false if there is none, with the reason in
-  /// m_code and m_errorMessage.
+  PlacementRequest MakePlacementRequest(Instant aNow) const;
+  /// Uses the reserved upstream or chooses the next one; false if there is
+  /// none, with the reason in m_code and m_errorMessage.
   bool ChooseUpstream();
   /// Whether to send the request to another upstream after \p aResult.
   bool ShouldRetry(ExchangeResult aResult);
@@ -71,6 +72,8 @@
   /// Forwards events as they arrive; events that the caller already has are
   /// skipped.
   Awaitable<ExchangeResult> ForwardStream(const UpstreamResponse& aResponse);
+  /// Records that bytes arrived from the upstream.
+  void NoteUpstreamHeard();
   Awaitable<void> FinishRequest(ExchangeResult aResult);
   Awaitable<void> RespondLocally(LocalResponse aResponse);
   std::string UpstreamHead() const;
@@ -83,6 +86,9 @@
   /// Time after which the request is sent to another upstream if no response
   /// has arrived; nullopt if it must not be repeated.
   std::optional<Duration> ResponseTimeout() const;
+  /// Reserves a retry at another upstream, which replaces the exchange in
+  /// flight; false if the request has to stay where it is for now.
+  bool ReserveFailover(Instant aNow);
   /// Charges the tokens used and releases the rest of the allotted ones.
   void SettleCredit();
   void LogEnd() const;
@@ -113,6 +119,11 @@
   bool m_isStreamBegun = false;
   std::string m_lastEventId;
   PlacementChoice m_choice;
+  /// The upstream of the next exchange; its retry is consumed already.
+  std::optional<PlacementChoice> m_reservedChoice;
+  bool m_isRequestSent = false; ///< In the latest exchange, at least in part.
+  /// Whether the current silence was recorded as a failure of the upstream.
+  bool m_isSilenceNoted = false;
   std::string m_upstreamAddress;
   std::shared_ptr<UpstreamExchange> m_exchange;
   UpstreamResponse m_failedResponse; ///< The latest complete error response.
--- /dev/null
+++ b/include/bergamotpaddle/Gateway/Failover.h
@@ -0,0 +1,58 @@
+/// \file
+/// Decides whether a request moves from a silent upstream to another one.
+///
+/// Load pattern handled here: upstreams pause for a second while the retry
+/// budget is used up, as when all routers adopt a configuration at once. A
+/// request that is given up then is lost, although its upstream would have gone
+/// on. A request therefore stays where it is unless the move is certain to
+/// succeed now.
+#pragma once
+
+#include "bergamotpaddle/Gateway/Placement.h"
+#include "bergamotpaddle/Gateway/RequestProgress.h"
+#include "bergamotpaddle/Gateway/RetryBudget.h"
+
+namespace bergamotpaddle {
+
+/// The result: the reserved upstream, or what the move lacks.
+struct FailoverResult
+{
+  enum class Verdict
+  {
+    kReserved,
+    kNoAttempt,  ///< The request must not be sent again.
+    kNoTime,     ///< The deadline is too close.
+    kNoRetry,    ///< The retry budget is used up.
+    kNoUpstream, ///< No other upstream takes the request.
+  };
+  Verdict m_verdict = Verdict::kNoAttempt;
+  PlacementChoice m_choice;
+};
+
+/// Names \p aVerdict for the log.
+std::string_view
+Describe(FailoverResult::Verdict aVerdict);
+
+/// Reserves moves of requests in flight. Performs no I/O.
+class Failover
+{
+public:
+  Failover(const UpstreamView& aUpstreams,
+           Placement& aPlacement,
+           RetryBudget& aRetries);
+
+  /// Consumes a retry and returns the upstream for it if the request, whose
+  /// send in flight may have reached its upstream, can be sent to another one
+  /// with at least \p aMinTimeLeft left. Changes nothing otherwise.
+  FailoverResult Reserve(const RequestProgress& aProgress,
+                         const PlacementRequest& aRequest,
+                         Duration aMinTimeLeft,
+                         Instant aNow);
+
+private:
+  const UpstreamView* m_upstreams;
+  Placement* m_placement;
+  RetryBudget* m_retries;
+};
+
+} // namespace bergamotpaddle
--- a/include/bergamotpaddle/Gateway/RequestProgress.h
+++ b/include/bergamotpaddle/Gateway/RequestProgress.h
@@ -31,6 +31,9 @@
 
   /// Whether the request may be sent to another upstream.
   bool MaySendAgain() const;
+  /// Whether the request may be sent to another upstream if the send in flight,
+  /// which may have reached its upstream, is abandoned.
+  bool MayAbandonSend() const;
   /// Whether it is certain that the request hasn't run and won't run.
   bool IsProvedNotRun() const
   {
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -83,21 +83,36 @@
   co_await FinishRequest(exchangeResult);
 }
 
-bool
-RequestRun::ChooseUpstream()
+PlacementRequest
+RequestRun::MakePlacementRequest(Instant aNow) const
 {
-  const Instant now = m_state->Now();
   PlacementRequest request;
   request.m_service = m_service;
   request.m_parts = m_request.m_parts;
-  request.m_timeLeft = m_deadline - now;
+  request.m_timeLeft = m_deadline - aNow;
   request.m_excluded = m_progress->Tried();
   if (m_route->m_kind == CallKind::kStream) {
     request.m_firstEventTimeout = std::max(
       m_state->m_options.m_minCallerStreamTimeout, m_route->m_objective * 4);
   }
-  PlacementResult result =
-    m_state->m_placement.Choose(m_state->m_upstreams, request, now);
+  return request;
+}
+
+bool
+RequestRun::ChooseUpstream()
+{
+  if (const auto reserved = std::exchange(m_reservedChoice, std::nullopt)) {
+    const UpstreamState* state =
+      m_state->m_upstreams.Find(reserved->m_upstream);
+    if (state != nullptr && !state->m_entry.m_isDraining) {
+      m_choice = *reserved;
+      m_upstreamAddress = state->m_entry.m_address;
+      return true;
+    }
+  }
+  const Instant now = m_state->Now();
+  PlacementResult result = m_state->m_placement.Choose(
+    m_state->m_upstreams, MakePlacementRequest(now), now);
   if (result.m_verdict == PlacementResult::Verdict::kPlaced) {
     m_choice = result.m_choice;
     const UpstreamState* state = m_state->m_upstreams.Find(m_choice.m_upstream);
@@ -116,7 +131,8 @@
 RequestRun::RunExchange()
 {
   const Instant startedAt = m_state->Now();
-  m_upstreamHeardAt = startedAt;
+  NoteUpstreamHeard();
+  m_isRequestSent = false;
   m_progress->NoteSending(m_choice.m_upstream);
   m_exchange = std::make_shared<UpstreamExchange>(m_executor);
   if (m_isCallerDisconnected) {
@@ -142,6 +158,7 @@
     if (const std::optional<Duration> idleTimeout = ResponseTimeout()) {
       ArmIdleTimeout(*idleTimeout);
     }
+    m_isRequestSent = true;
     m_exchange->BeginSending(UpstreamHead(), m_body);
     exchangeResult = co_await ReadResponse(m_method == "HEAD");
   } else if (m_isCallerDisconnected) {
@@ -160,28 +177,6 @@
   co_return exchangeResult;
 }
 
-std::optional<Duration>
-RequestRun::ResponseTimeout() const
-{
-  if (!m_route->MayRunAgain()) {
-    return std::nullopt; // The request must not be sent to another upstream.
-  }
-  const ForwardingOptions& options = m_state->m_options;
-  if (m_route->m_kind == CallKind::kStream) {
-    return options.m_streamIdleTimeout;
-  }
-  const auto scaledObjective = Duration(static_cast<Duration::rep>(
-    static_cast<double>(m_route->m_objective.count()) *
-    options.m_responseTimeoutFactor));
-  return std::max(options.m_minResponseTimeout, scaledObjective);
-}
-
-void
-RequestRun::ArmIdleTimeout(Duration aTimeout)
-{
-  m_idleDeadline = m_state->Now() + aTimeout;
-}
-
 std::string
 RequestRun::UpstreamHead() const
 {
@@ -230,7 +225,7 @@
     co_return m_isCallerDisconnected ? ExchangeResult::kCallerDisconnected
                                      : ExchangeResult::kIncomplete;
   }
-  m_upstreamHeardAt = m_state->Now();
+  NoteUpstreamHeard();
   UpstreamResponse response = m_state->m_dialect.m_readResponse(
     head->m_status, head->m_reason, head->m_fields);
   if (response.m_load) {
@@ -263,7 +258,7 @@
     const std::string bytes = co_await m_exchange->ReadBody();
     body += bytes;
     if (!bytes.empty()) {
-      m_upstreamHeardAt = m_state->Now();
+      NoteUpstreamHeard();
     }
     m_countedResponseBytes += bytes.size();
     m_state->m_bufferedResponseBytes += bytes.size();
@@ -279,6 +274,7 @@
       co_return ExchangeResult::kIncomplete;
     }
   }
+  m_idleDeadline.reset();
   m_timeToFirstByte = Elapsed();
   if (aResponse.m_status >= kFirstServerError) {
     m_failedResponse = aResponse;
@@ -311,7 +307,7 @@
       co_return ExchangeResult::kCallerDisconnected;
     }
     if (!bytes.empty()) {
-      m_upstreamHeardAt = m_state->Now();
+      NoteUpstreamHeard();
     }
     const std::string events = splitter.Consume(bytes);
     if (splitter.PartialBytes() > m_state->m_options.m_maxEventBytes) {
@@ -400,7 +396,9 @@
   }
   m_mayHaveRun = m_mayHaveRun || sendOutcome == SendOutcome::kMayHaveRun;
   m_progress->NoteOutcome(sendOutcome);
-  if (aResult != ExchangeResult::kCallerDisconnected) {
+  const bool isNoted =
+    m_isSilenceNoted && health != ExchangeOutcome::kSucceeded;
+  if (aResult != ExchangeResult::kCallerDisconnected && !isNoted) {
     m_state->m_upstreams.NoteOutcome(m_choice.m_upstream, health, now);
   }
   if (health != ExchangeOutcome::kSucceeded) {
@@ -425,14 +423,16 @@
       m_isCallerDisconnected || !m_progress->MaySendAgain()) {
     return false;
   }
-  const Instant now = m_state->Now();
-  if (m_deadline - now < m_state->m_options.m_minTimeLeft) {
-    return false;
-  }
-  if (m_progress->WouldRepeat() &&
-      !m_state->m_retries.Consume(m_service, now)) {
-    m_errorMessage = "the retry budget is used up";
-    return false;
+  if (!m_reservedChoice) {
+    const Instant now = m_state->Now();
+    if (m_deadline - now < m_state->m_options.m_minTimeLeft) {
+      return false;
+    }
+    if (m_progress->WouldRepeat() &&
+        !m_state->m_retries.Consume(m_service, now)) {
+      m_errorMessage = "the retry budget is used up";
+      return false;
+    }
   }
   m_state->m_counters.m_retries += m_progress->WouldRepeat() ? 1 : 0;
   m_state->m_counters.m_streamsResumed += m_isStreamBegun ? 1 : 0;
@@ -518,18 +518,4 @@
   m_state->m_credit.Settle(m_account->m_id, m_allotted, usedTokens);
 }
 
-void
-RequestRun::Tick(Instant aNow)
-{
-  if (!m_exchange) {
-    return;
-  }
-  if (aNow >= m_deadline) {
-    m_exchange->Abort(AbortReason::kDeadline);
-  } else if (m_idleDeadline && aNow >= *m_idleDeadline) {
-    m_idleDeadline.reset();
-    m_exchange->Abort(AbortReason::kIdleTimeout);
-  }
-}
-
 } // namespace bergamotpaddle
--- a/lib/Gateway/RequestProgress.cpp
+++ b/lib/Gateway/RequestProgress.cpp
@@ -40,4 +40,11 @@
                      : m_mayHaveRunCount == 0;
 }
 
+bool
+RequestProgress::MayAbandonSend() const
+{
+  return m_isInFlight && m_sends < kMaxSends && m_mayRepeat &&
+         m_mayHaveRunCount + 1 < m_maxAttempts;
+}
+
 } // namespace bergamotpaddle
--- a/unittests/Platform/SilentUpstreamTest.cpp
+++ b/unittests/Platform/SilentUpstreamTest.cpp
@@ -22,8 +22,218 @@
          GatewayFixture::Chunk("id: 1\ndata: a\n\n");
 }
 
+/// A stream that pauses after its first event.
+ScriptedUpstream::Script
+PausingStream(milliseconds aPause)
+{
+  return { BegunStream(),
+           false,
+           false,
+           aPause,
+           GatewayFixture::Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n" };
+}
+
+/// A call that is answered late.
+ScriptedUpstream::Script
+LateResponse(milliseconds aDelay)
+{
+  return { "", false, false, aDelay, GatewayFixture::SealedResponse() };
+}
+
+bool
+IsWholeStream(const std::string& aResponse)
+{
+  const auto occursOnce = [&aResponse](const std::string& aPart) {
+    return Contains(aResponse, aPart) &&
+           aResponse.find(aPart) == aResponse.rfind(aPart);
+  };
+  return occursOnce("data: a\n\n") && occursOnce("data: b\n\n") &&
+         aResponse.ends_with("0\r\n\r\n");
+}
+
+/// A gateway whose routes leave time for a silence.
+class SilenceFixture : public GatewayFixture
+{
+public:
+  explicit SilenceFixture(int aMaxAttempts)
+  {
+    RoutingConfig config = Config();
+    for (Route& route : config.m_routes) {
+      route.m_timeout = milliseconds(4000);
+      if (route.MayRunAgain()) {
+        route.m_maxAttempts = aMaxAttempts;
+      }
+    }
+    m_state.m_routes = std::make_shared<const RouteTable>(std::move(config));
+  }
+
+  std::string Call(const std::string& aPath)
+  {
+    std::string request = Request(aPath);
+    const std::string timeout = "Timeout-Ms: 1500";
+    request.replace(request.find(timeout), timeout.size(), "Timeout-Ms: 3500");
+    return GatewayFixture::Call(request, milliseconds(5000));
+  }
+
+  /// Scripts the upstream that is chosen first with \p aFirst and the other one
+  /// with \p aSecond.
+  void Script(const ScriptedUpstream::Script& aFirst,
+              const ScriptedUpstream::Script& aSecond)
+  {
+    m_firstUpstream.m_scripts = { aFirst };
+    m_secondUpstream.m_scripts = { aFirst };
+    m_state.m_onLoadChanged = [this, aSecond](const UpstreamId& aId,
+                                              const std::vector<PromptPart>&) {
+      if (SendCount() == 0) {
+        m_chosen = aId;
+        (aId == UpstreamId("u1") ? m_secondUpstream : m_firstUpstream)
+          .m_scripts = { aSecond };
+      }
+    };
+  }
+
+  /// Consumes all retries of a budget that is full again after \p aWindow.
+  void ExhaustRetries(milliseconds aWindow)
+  {
+    m_state.m_retries = RetryBudget({ 0, 1, aWindow, 1 });
+    CHECK(m_state.m_retries.Consume(kService, m_state.Now()));
+  }
+
+  std::size_t SendCount() const
+  {
+    return m_firstUpstream.m_requests.size() +
+           m_secondUpstream.m_requests.size();
+  }
+
+  const ServiceId kService{ "desk" };
+  UpstreamId m_chosen; ///< Of the first exchange.
+};
+
 } // namespace
 
+// Regression: a silent upstream was given up although the request could not be
+// sent to another one, so that callers lost responses that were on their way.
+TEST_CASE("a response whose upstream is silent for longer than a timeout",
+          "[forwarding][silence]")
+{
+  constexpr milliseconds kStreamPause(1400);
+  constexpr milliseconds kCallDelay(700);
+  constexpr milliseconds kLongWindow(60'000);
+
+  SECTION("arrives whole if the route allows no further attempt")
+  {
+    SilenceFixture fixture(1);
+    SECTION("of a stream")
+    {
+      fixture.Script(PausingStream(kStreamPause), {});
+      CHECK(IsWholeStream(fixture.Call("/resume/x")));
+    }
+    SECTION("of a call")
+    {
+      fixture.Script(LateResponse(kCallDelay), {});
+      CHECK(fixture.Call("/again/x").starts_with("HTTP/1.1 200"));
+    }
+    CHECK(fixture.SendCount() == 1);
+  }
+
+  SECTION("arrives whole if the retry budget is used up")
+  {
+    SilenceFixture fixture(2);
+    fixture.ExhaustRetries(kLongWindow);
+    SECTION("of a stream")
+    {
+      fixture.Script(PausingStream(kStreamPause), {});
+      CHECK(IsWholeStream(fixture.Call("/resume/x")));
+    }
+    SECTION("of a call")
+    {
+      fixture.Script(LateResponse(kCallDelay), {});
+      CHECK(fixture.Call("/again/x").starts_with("HTTP/1.1 200"));
+    }
+    CHECK(fixture.SendCount() == 1);
+    CHECK(fixture.m_state.m_counters.m_retries == 0);
+  }
+
+  SECTION("arrives whole if no other upstream is usable")
+  {
+    SilenceFixture fixture(2);
+    fixture.m_state.m_upstreams.Remove(UpstreamId("u2"));
+    SECTION("of a stream")
+    {
+      fixture.Script(PausingStream(kStreamPause), {});
+      CHECK(IsWholeStream(fixture.Call("/resume/x")));
+    }
+    SECTION("of a call")
+    {
+      fixture.Script(LateResponse(kCallDelay), {});
+      CHECK(fixture.Call("/again/x").starts_with("HTTP/1.1 200"));
+    }
+    CHECK(fixture.SendCount() == 1);
+  }
+
+  SECTION("is awaited until the deadline while nothing can replace it")
+  {
+    SilenceFixture fixture(1);
+    fixture.Script({ "", true }, {});
+    CHECK(fixture.Call("/again/x").starts_with("HTTP/1.1 504"));
+    CHECK(fixture.SendCount() == 1);
+  }
+
+  SECTION("is replaced by that of another upstream at the cost of one retry")
+  {
+    SilenceFixture fixture(2);
+    fixture.m_state.m_retries = RetryBudget({ 0, 1, kLongWindow, 1 });
+    SECTION("which resumes a stream")
+    {
+      fixture.Script({ BegunStream(), true }, PausingStream(milliseconds(10)));
+      CHECK(IsWholeStream(fixture.Call("/resume/x")));
+      CHECK(fixture.m_state.m_counters.m_streamsResumed == 1);
+    }
+    SECTION("which answers a call")
+    {
+      fixture.Script({ "", true }, LateResponse(milliseconds(10)));
+      CHECK(fixture.Call("/again/x").starts_with("HTTP/1.1 200"));
+    }
+    CHECK(fixture.SendCount() == 2);
+    CHECK(fixture.m_state.m_counters.m_retries == 1);
+    CHECK(fixture.m_firstUpstream.m_openConnections +
+            fixture.m_secondUpstream.m_openConnections ==
+          0);
+  }
+
+  SECTION("is replaced as soon as the retry budget allows")
+  {
+    SilenceFixture fixture(2);
+    fixture.ExhaustRetries(milliseconds(1800));
+    fixture.Script({ BegunStream(), true }, PausingStream(milliseconds(10)));
+    CHECK(IsWholeStream(fixture.Call("/resume/x")));
+    CHECK(fixture.SendCount() == 2);
+  }
+
+  SECTION("is not sent again if it may run only once")
+  {
+    SilenceFixture fixture(2);
+    fixture.Script(PausingStream(kStreamPause), {});
+    CHECK(IsWholeStream(fixture.Call("/stream/x")));
+    CHECK(fixture.SendCount() == 1);
+  }
+
+  SECTION("keeps later requests away from the silent upstream")
+  {
+    SilenceFixture fixture(1);
+    fixture.Script(PausingStream(kStreamPause), {});
+    bool isAvoided = false;
+    asio::steady_timer timer(fixture.m_io, milliseconds(1300));
+    timer.async_wait([&](const boost::system::error_code&) {
+      isAvoided =
+        fixture.m_state.m_upstreams.Find(fixture.m_chosen)->m_avoidUntil >
+        fixture.m_state.Now();
+    });
+    CHECK(IsWholeStream(fixture.Call("/resume/x")));
+    CHECK(isAvoided);
+  }
+}
+
 TEST_CASE("the log of a stream that the router closes", "[forwarding][log]")
 {
   GatewayFixture fixture;
