Count only the upstream's silence towards the idle timeout

What callers saw: nothing; a resumable stream whose caller read slowly was resumed at another upstream although the first one was not silent, which cost a retry and recorded a failure of a sound upstream.

Cause: the idle timeout of a stream was armed before events were written to the caller, so it advanced while the write waited for the caller.

Why the fix works: the timeout is disarmed while events, or the end of a stream, are written, and armed again when the next bytes are awaited.

The deadline still covers the time of writes.

--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -324,9 +324,8 @@
         m_longestPause = std::max(m_longestPause, now - *m_lastEventAt);
       }
       m_lastEventAt = now;
-      if (idleTimeout) {
-        ArmIdleTimeout(*idleTimeout);
-      }
+      // The time that the caller takes to read is no silence of the upstream.
+      m_idleDeadline.reset();
       if (!m_timeToFirstByte) {
         m_timeToFirstByte = Elapsed();
         m_state->m_counters.m_firstEventTime.Record(*m_timeToFirstByte);
@@ -345,6 +344,9 @@
       } else {
         co_await m_caller->SendEvents(events);
       }
+      if (idleTimeout) {
+        ArmIdleTimeout(*idleTimeout);
+      }
     }
     if (m_exchange->IsComplete()) {
       break;
@@ -358,6 +360,7 @@
     m_errorMessage = "the stream ends within an event";
     co_return ExchangeResult::kIncomplete;
   }
+  m_idleDeadline.reset();
   if (!std::exchange(m_isStreamBegun, true)) {
     m_status = aResponse.m_status;
     const std::string noEvents;
--- a/unittests/Platform/SilentUpstreamTest.cpp
+++ b/unittests/Platform/SilentUpstreamTest.cpp
@@ -234,6 +234,61 @@
   }
 }
 
+// Regression: the time that a caller took to read was counted as silence of the
+// upstream, and the stream was moved although its upstream was not silent.
+TEST_CASE("a stream whose caller reads slowly", "[forwarding][silence]")
+{
+  SilenceFixture fixture(2);
+  // The events exceed what the sockets between router and caller hold.
+  constexpr std::size_t kEventBytes = 100'000;
+  constexpr int kEvents = 200;
+  std::string events;
+  for (int id = 1; id <= kEvents; ++id) {
+    events += GatewayFixture::Chunk("id: " + std::to_string(id) + "\ndata: " +
+                                    std::string(kEventBytes, 'x') + "\n\n");
+  }
+  const ScriptedUpstream::Script script{ GatewayFixture::StreamHead() + events +
+                                         "0\r\n\r\n" };
+  fixture.Script(script, script);
+  asio::ip::tcp::socket caller(fixture.m_io);
+  const std::size_t colon = fixture.m_callerAddress.rfind(':');
+  caller.connect({ asio::ip::make_address("127.0.0.1"),
+                   static_cast<std::uint16_t>(
+                     std::stoi(fixture.m_callerAddress.substr(colon + 1))) });
+  std::string request = GatewayFixture::Request("/resume/x");
+  request.replace(request.find("Timeout-Ms: 1500"), 16, "Timeout-Ms: 3900");
+  asio::write(caller, asio::buffer(request));
+  fixture.RunFor(milliseconds(2000));
+
+  CHECK(fixture.SendCount() == 1);
+  CHECK(fixture.m_state.m_counters.m_retries == 0);
+  CHECK(
+    fixture.m_state.m_upstreams.Find(fixture.m_chosen)->m_consecutiveFailures ==
+    0);
+
+  SECTION("arrives whole from its first upstream")
+  {
+    std::string response;
+    asio::co_spawn(
+      fixture.m_io,
+      [](Tcp::socket& aCaller,
+         std::string& aResponse) -> asio::awaitable<void> {
+        boost::system::error_code error;
+        std::vector<char> bytes(1 << 20U);
+        while (!error) {
+          const std::size_t count = co_await aCaller.async_read_some(
+            asio::buffer(bytes),
+            asio::redirect_error(asio::use_awaitable, error));
+          aResponse.append(bytes.data(), count);
+        }
+      }(caller, response),
+      asio::detached);
+    fixture.RunFor(milliseconds(1500));
+    CHECK(response.ends_with("0\r\n\r\n"));
+    CHECK(fixture.SendCount() == 1);
+  }
+}
+
 TEST_CASE("the log of a stream that the router closes", "[forwarding][log]")
 {
   GatewayFixture fixture;
