--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -58,8 +58,9 @@
   /// `ForwardingOptions::m_maxCreditWait` after arrival.
   Awaitable<AllotResult> AwaitCredit(std::uint64_t aMaxTokens);
   Awaitable<void> Forward();
-  /// Chooses the next upstream; false if there is none, with the reason in
-  /// m_code and m_errorMessage.
+  PlacementRequest MakePlacementRequest(Instant aNow) const;
+  /// Uses the reserved upstream or chooses the next one; false if there is
+  /// none, with the reason in m_code and m_errorMessage.
   bool ChooseUpstream();
   /// Whether to send the request to another upstream after \p aResult.
   bool ShouldRetry(ExchangeResult aResult);
@@ -71,15 +72,23 @@
   /// Forwards events as they arrive; events that the caller already has are
   /// skipped.
   Awaitable<ExchangeResult> ForwardStream(const UpstreamResponse& aResponse);
+  /// Records that bytes arrived from the upstream.
+  void NoteUpstreamHeard();
   Awaitable<void> FinishRequest(ExchangeResult aResult);
   Awaitable<void> RespondLocally(LocalResponse aResponse);
   std::string UpstreamHead() const;
   bool IsInvalidResponse(const UpstreamResponse& aResponse) const;
   void NoteExchange(ExchangeResult aResult);
+  /// Adds to \p aLine why the latest exchange ended, how long the upstream had
+  /// been silent, what the caller had received, and what was left for a retry.
+  void AppendExchangeState(LogLine& aLine) const;
   void ArmIdleTimeout(Duration aTimeout);
   /// Time after which the request is sent to another upstream if no response
   /// has arrived; nullopt if it must not be repeated.
   std::optional<Duration> ResponseTimeout() const;
+  /// Reserves a retry at another upstream, which replaces the exchange in
+  /// flight; false if the request has to stay where it is for now.
+  bool ReserveFailover(Instant aNow);
   /// Charges the tokens used and releases the rest of the allotted ones.
   void SettleCredit();
   void LogEnd() const;
@@ -110,6 +119,11 @@
   bool m_isStreamBegun = false;
   std::string m_lastEventId;
   PlacementChoice m_choice;
+  /// The upstream of the next exchange; its retry is consumed already.
+  std::optional<PlacementChoice> m_reservedChoice;
+  bool m_isRequestSent = false; ///< In the latest exchange, at least in part.
+  /// Whether the current silence was recorded as a failure of the upstream.
+  bool m_isSilenceNoted = false;
   std::string m_upstreamAddress;
   std::shared_ptr<UpstreamExchange> m_exchange;
   UpstreamResponse m_failedResponse; ///< The latest complete error response.
@@ -122,6 +136,7 @@
   int m_status = 0;
   std::string m_errorMessage;
   std::optional<Duration> m_timeToFirstByte;
+  Instant m_upstreamHeardAt{}; ///< Start of the exchange, or bytes since.
   std::optional<Instant> m_lastEventAt;
   Duration m_longestPause{ 0 };
 };
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -83,21 +83,36 @@
   co_await FinishRequest(exchangeResult);
 }
 
-bool
-RequestRun::ChooseUpstream()
+PlacementRequest
+RequestRun::MakePlacementRequest(Instant aNow) const
 {
-  const Instant now = m_state->Now();
   PlacementRequest request;
   request.m_service = m_service;
   request.m_parts = m_request.m_parts;
-  request.m_timeLeft = m_deadline - now;
+  request.m_timeLeft = m_deadline - aNow;
   request.m_excluded = m_progress->Tried();
   if (m_route->m_kind == CallKind::kStream) {
     request.m_firstEventTimeout = std::max(
       m_state->m_options.m_minCallerStreamTimeout, m_route->m_objective * 4);
   }
-  PlacementResult result =
-    m_state->m_placement.Choose(m_state->m_upstreams, request, now);
+  return request;
+}
+
+bool
+RequestRun::ChooseUpstream()
+{
+  if (const auto reserved = std::exchange(m_reservedChoice, std::nullopt)) {
+    const UpstreamState* state =
+      m_state->m_upstreams.Find(reserved->m_upstream);
+    if (state != nullptr && !state->m_entry.m_isDraining) {
+      m_choice = *reserved;
+      m_upstreamAddress = state->m_entry.m_address;
+      return true;
+    }
+  }
+  const Instant now = m_state->Now();
+  PlacementResult result = m_state->m_placement.Choose(
+    m_state->m_upstreams, MakePlacementRequest(now), now);
   if (result.m_verdict == PlacementResult::Verdict::kPlaced) {
     m_choice = result.m_choice;
     const UpstreamState* state = m_state->m_upstreams.Find(m_choice.m_upstream);
@@ -116,6 +131,8 @@
 RequestRun::RunExchange()
 {
   const Instant startedAt = m_state->Now();
+  NoteUpstreamHeard();
+  m_isRequestSent = false;
   m_progress->NoteSending(m_choice.m_upstream);
   m_exchange = std::make_shared<UpstreamExchange>(m_executor);
   if (m_isCallerDisconnected) {
@@ -141,6 +158,7 @@
     if (const std::optional<Duration> idleTimeout = ResponseTimeout()) {
       ArmIdleTimeout(*idleTimeout);
     }
+    m_isRequestSent = true;
     m_exchange->BeginSending(UpstreamHead(), m_body);
     exchangeResult = co_await ReadResponse(m_method == "HEAD");
   } else if (m_isCallerDisconnected) {
@@ -159,28 +177,6 @@
   co_return exchangeResult;
 }
 
-std::optional<Duration>
-RequestRun::ResponseTimeout() const
-{
-  if (!m_route->MayRunAgain()) {
-    return std::nullopt; // The request must not be sent to another upstream.
-  }
-  const ForwardingOptions& options = m_state->m_options;
-  if (m_route->m_kind == CallKind::kStream) {
-    return options.m_streamIdleTimeout;
-  }
-  const auto scaledObjective = Duration(static_cast<Duration::rep>(
-    static_cast<double>(m_route->m_objective.count()) *
-    options.m_responseTimeoutFactor));
-  return std::max(options.m_minResponseTimeout, scaledObjective);
-}
-
-void
-RequestRun::ArmIdleTimeout(Duration aTimeout)
-{
-  m_idleDeadline = m_state->Now() + aTimeout;
-}
-
 std::string
 RequestRun::UpstreamHead() const
 {
@@ -229,6 +225,7 @@
     co_return m_isCallerDisconnected ? ExchangeResult::kCallerDisconnected
                                      : ExchangeResult::kIncomplete;
   }
+  NoteUpstreamHeard();
   UpstreamResponse response = m_state->m_dialect.m_readResponse(
     head->m_status, head->m_reason, head->m_fields);
   if (response.m_load) {
@@ -260,6 +257,9 @@
   while (!m_exchange->IsComplete()) {
     const std::string bytes = co_await m_exchange->ReadBody();
     body += bytes;
+    if (!bytes.empty()) {
+      NoteUpstreamHeard();
+    }
     m_countedResponseBytes += bytes.size();
     m_state->m_bufferedResponseBytes += bytes.size();
     if (m_isCallerDisconnected) {
@@ -274,6 +274,7 @@
       co_return ExchangeResult::kIncomplete;
     }
   }
+  m_idleDeadline.reset();
   m_timeToFirstByte = Elapsed();
   if (aResponse.m_status >= kFirstServerError) {
     m_failedResponse = aResponse;
@@ -305,6 +306,9 @@
     if (m_isCallerDisconnected) {
       co_return ExchangeResult::kCallerDisconnected;
     }
+    if (!bytes.empty()) {
+      NoteUpstreamHeard();
+    }
     const std::string events = splitter.Consume(bytes);
     if (splitter.PartialBytes() > m_state->m_options.m_maxEventBytes) {
       m_errorMessage = "an event of the stream is too long";
@@ -320,9 +324,8 @@
         m_longestPause = std::max(m_longestPause, now - *m_lastEventAt);
       }
       m_lastEventAt = now;
-      if (idleTimeout) {
-        ArmIdleTimeout(*idleTimeout);
-      }
+      // The time that the caller takes to read is no silence of the upstream.
+      m_idleDeadline.reset();
       if (!m_timeToFirstByte) {
         m_timeToFirstByte = Elapsed();
         m_state->m_counters.m_firstEventTime.Record(*m_timeToFirstByte);
@@ -341,6 +344,9 @@
       } else {
         co_await m_caller->SendEvents(events);
       }
+      if (idleTimeout) {
+        ArmIdleTimeout(*idleTimeout);
+      }
     }
     if (m_exchange->IsComplete()) {
       break;
@@ -354,6 +360,7 @@
     m_errorMessage = "the stream ends within an event";
     co_return ExchangeResult::kIncomplete;
   }
+  m_idleDeadline.reset();
   if (!std::exchange(m_isStreamBegun, true)) {
     m_status = aResponse.m_status;
     const std::string noEvents;
@@ -392,19 +399,22 @@
   }
   m_mayHaveRun = m_mayHaveRun || sendOutcome == SendOutcome::kMayHaveRun;
   m_progress->NoteOutcome(sendOutcome);
-  if (aResult != ExchangeResult::kCallerDisconnected) {
+  const bool isNoted =
+    m_isSilenceNoted && health != ExchangeOutcome::kSucceeded;
+  if (aResult != ExchangeResult::kCallerDisconnected && !isNoted) {
     m_state->m_upstreams.NoteOutcome(m_choice.m_upstream, health, now);
   }
   if (health != ExchangeOutcome::kSucceeded) {
-    m_state->Log(
-      LogLine("exchange.failed")
-        .Text("request", m_request.m_attemptId)
-        .Text("upstream", m_choice.m_upstream.Str())
-        .Number("end", static_cast<int>(aResult))
-        .Number("aborted", static_cast<int>(m_exchange->GetAbortReason()))
-        .Text("why", m_errorMessage)
-        .Text("error", m_exchange->Error())
-        .Milliseconds("after_ms", Elapsed()));
+    LogLine line("exchange.failed");
+    line.Text("request", m_request.m_attemptId)
+      .Text("upstream", m_choice.m_upstream.Str())
+      .Number("end", static_cast<int>(aResult))
+      .Number("aborted", static_cast<int>(m_exchange->GetAbortReason()))
+      .Text("why", m_errorMessage)
+      .Text("error", m_exchange->Error())
+      .Milliseconds("after_ms", Elapsed());
+    AppendExchangeState(line);
+    m_state->Log(line);
   }
 }
 
@@ -416,14 +426,16 @@
       m_isCallerDisconnected || !m_progress->MaySendAgain()) {
     return false;
   }
-  const Instant now = m_state->Now();
-  if (m_deadline - now < m_state->m_options.m_minTimeLeft) {
-    return false;
-  }
-  if (m_progress->WouldRepeat() &&
-      !m_state->m_retries.Consume(m_service, now)) {
-    m_errorMessage = "the retry budget is used up";
-    return false;
+  if (!m_reservedChoice) {
+    const Instant now = m_state->Now();
+    if (m_deadline - now < m_state->m_options.m_minTimeLeft) {
+      return false;
+    }
+    if (m_progress->WouldRepeat() &&
+        !m_state->m_retries.Consume(m_service, now)) {
+      m_errorMessage = "the retry budget is used up";
+      return false;
+    }
   }
   m_state->m_counters.m_retries += m_progress->WouldRepeat() ? 1 : 0;
   m_state->m_counters.m_streamsResumed += m_isStreamBegun ? 1 : 0;
@@ -443,6 +455,10 @@
     // for a complete one.
     m_code = m_isCallerDisconnected ? ResultCode::kCancelled
                                     : ResultCode::kUpstreamFailed;
+    LogLine line("caller.closed");
+    line.Text("request", m_request.m_attemptId);
+    AppendExchangeState(line);
+    m_state->Log(line);
     m_caller->Close();
     co_return;
   }
@@ -505,59 +521,4 @@
   m_state->m_credit.Settle(m_account->m_id, m_allotted, usedTokens);
 }
 
-void
-RequestRun::Tick(Instant aNow)
-{
-  if (!m_exchange) {
-    return;
-  }
-  if (aNow >= m_deadline) {
-    m_exchange->Abort(AbortReason::kDeadline);
-  } else if (m_idleDeadline && aNow >= *m_idleDeadline) {
-    m_idleDeadline.reset();
-    m_exchange->Abort(AbortReason::kIdleTimeout);
-  }
-}
-
-void
-RequestRun::LogEnd() const
-{
-  LogLine line("request.end");
-  line.Text("request", m_request.m_attemptId)
-    .Number("code", static_cast<int>(m_code))
-    .Number("status", m_status)
-    .Text("route", m_route != nullptr ? m_route->m_name : "")
-    .Text("account", m_account != nullptr ? m_account->m_id.Str() : "")
-    .Number("config",
-            m_table ? static_cast<std::int64_t>(m_table->Version()) : 0)
-    .Milliseconds("total_ms", Elapsed());
-  if (m_timeToFirstByte) {
-    line.Milliseconds("first_ms", *m_timeToFirstByte)
-      .Milliseconds("pause_ms", m_longestPause);
-  }
-  if (m_progress && !m_progress->Tried().empty()) {
-    line.Text("upstream", m_choice.m_upstream.Str())
-      .Number("unread", m_choice.m_uncachedTokens)
-      .Number("beside", m_choice.m_requests)
-      .Milliseconds("expected_ms", m_choice.m_expected)
-      .Number("sends", static_cast<std::int64_t>(m_progress->Tried().size()))
-      .Number("events", static_cast<std::int64_t>(m_eventsDelivered));
-  }
-  if (m_account != nullptr && m_account->m_prepaid) {
-    const CreditStatus credit =
-      m_state->m_credit.Status(m_account->m_id, m_state->Now());
-    line.Number("allotted", static_cast<std::int64_t>(m_allotted))
-      .Number("charged", static_cast<std::int64_t>(m_charged))
-      .Milliseconds("credit_wait_ms", m_creditWaitTime)
-      .Number("credit_limit", static_cast<std::int64_t>(credit.m_limit))
-      .Number("credit_used", static_cast<std::int64_t>(credit.m_used))
-      .Number("credit_free", static_cast<std::int64_t>(credit.m_free))
-      .Number("prepaid", static_cast<std::int64_t>(credit.m_prepaid));
-  }
-  if (!m_errorMessage.empty()) {
-    line.Text("why", m_errorMessage);
-  }
-  m_state->Log(line);
-}
-
 } // namespace bergamotpaddle
