Forwarding: a blocked event loop does not time out callers' requests

Callers saw: a connection closed without an answer although the whole request had been sent in time. One such request had been passed on to an upstream before its connection was found closed.

Cause: CallerConnection::Tick compared the deadline with the time of day only and closed the socket. After a blocked turn of the event loop the tick runs before the pending reads (or between two reads of one request). Bytes in the kernel were discarded; a read that had completed, but whose handler waited behind the tick, still led to a request that was forwarded for a caller whose socket was closed.

Evidence: "a request that arrives in time while the event loop is blocked" before the fix, 9 of 30 assertions of [timeout] failed: CallerConnectionTest.cpp:178: FAILED: CHECK( caller.Received().substr(0, 12) == "HTTP/1.1 200" ) "" == "HTTP/1.1 200" tick after poll; 1 requests were passed on After it all 30 hold; the real idle, header, body and byte-by-byte timeouts are among them (they passed before as well).

Why it works: a deadline ends only a read that waits while the kernel holds no byte, and it ends that read by cancellation, which leaves completed reads alone. So no byte is in either place when the connection is given up. The time of a blocked loop is added to the wait, since flow control may have kept the caller from sending meanwhile. The linger loop checks its deadline itself, so a caller that sends without pause cannot extend it.

--- a/include/bergamotpaddle/Forwarding/CallerConnection.h
+++ b/include/bergamotpaddle/Forwarding/CallerConnection.h
@@ -62,8 +62,10 @@
   void WatchForDisconnect(std::function<void()> aOnDisconnect);
   void StopDisconnectWatch();
 
-  /// Closes the connection if the current wait has exceeded its deadline.
-  void Tick(Instant aNow);
+  /// Ends the current wait for bytes if its deadline has passed and no bytes
+  /// have arrived. \p aStall, a time during which the event loop was blocked,
+  /// does not count.
+  void Tick(Instant aNow, Duration aStall);
   void Close();
   /// Closes the connection after the caller has read the last response or a
   /// timeout has expired.
@@ -84,6 +86,8 @@
                          const FieldList& aFields) const;
   void FinishResponse();
   void CheckForDisconnect(std::uint64_t aWatchId);
+  /// Whether bytes have arrived that are not read yet.
+  bool HasUnreadBytes() const;
 
   Socket m_socket;
   GatewayState* m_state;
@@ -91,7 +95,7 @@
   WireRequest m_request;
   /// Part of `GatewayState::m_bufferedRequestBytes`.
   std::uint64_t m_countedBodyBytes = 0;
-  std::optional<Instant> m_waitDeadline; ///< The connection is closed then.
+  std::optional<Instant> m_waitDeadline; ///< The wait for bytes ends then.
   bool m_isIdle = true;
   bool m_isOpen = true;
   bool m_keepAlive = true;
--- a/lib/Forwarding/CallerConnection.cpp
+++ b/lib/Forwarding/CallerConnection.cpp
@@ -361,19 +361,32 @@
   m_socket.shutdown(Socket::shutdown_send, error);
   m_waitDeadline = m_state->Now() + kLingerTimeout;
   std::array<char, 4096> discarded{};
-  while (!error) {
+  while (!error && m_state->Now() < *m_waitDeadline) {
     co_await m_socket.async_read_some(asio::buffer(discarded), Into(error));
   }
   m_waitDeadline.reset();
   Close();
 }
 
+bool
+CallerConnection::HasUnreadBytes() const
+{
+  ErrorCode ignored;
+  return m_socket.available(ignored) > 0;
+}
+
 void
-CallerConnection::Tick(Instant aNow)
+CallerConnection::Tick(Instant aNow, Duration aStall)
 {
-  if (m_waitDeadline && aNow >= *m_waitDeadline) {
-    m_waitDeadline.reset();
-    Close();
+  if (!m_waitDeadline) {
+    return;
+  }
+  *m_waitDeadline += aStall;
+  if (aNow >= *m_waitDeadline && !HasUnreadBytes()) {
+    // Unlike Close, this does not affect a read that has completed but whose
+    // handler has not run yet.
+    ErrorCode ignored;
+    m_socket.cancel(ignored);
   }
 }
 
--- a/lib/Forwarding/GatewayServer.cpp
+++ b/lib/Forwarding/GatewayServer.cpp
@@ -28,6 +28,9 @@
 /// Connections accepted in one iteration of the event loop: a quarter of the
 /// backlog.
 constexpr int kMaxAcceptsPerWakeup = 256;
+/// Shortest delay of a tick that counts as a blocked event loop, and not as the
+/// resolution of timeouts: five tick intervals.
+constexpr Duration kMinStall = std::chrono::milliseconds(100);
 /// Interval at which the log is flushed.
 constexpr Duration kLogInterval = std::chrono::milliseconds(200);
 
@@ -230,9 +233,11 @@
     timer.expires_after(m_state->m_options.m_tickInterval);
     co_await timer.async_wait(Into(error));
     const Instant now = m_state->Now();
-    RecordLoopDelay(now - due);
+    const Duration delay = now - due;
+    RecordLoopDelay(delay);
+    const Duration stall = delay >= kMinStall ? delay : Duration(0);
     for (auto& [id, session] : m_sessions) {
-      session.m_caller->Tick(now);
+      session.m_caller->Tick(now, stall);
       if (session.m_run) {
         session.m_run->Tick(now);
       }
--- /dev/null
+++ b/unittests/Platform/CallerConnectionTest.cpp
@@ -0,0 +1,266 @@
+/// \file
+/// Tests of when the gateway closes a caller's connection: timeouts, rejections
+/// and shutdowns beside requests that have arrived but are not read yet.
+#include "Loopback.h"
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace bergamotpaddle;
+using std::chrono::milliseconds;
+
+namespace {
+
+Tcp::endpoint
+EndpointOf(const std::string& aAddress)
+{
+  const std::size_t colon = aAddress.rfind(':');
+  return { asio::ip::make_address("127.0.0.1"),
+           static_cast<std::uint16_t>(std::stoi(aAddress.substr(colon + 1))) };
+}
+
+/// A remote end whose operations need no event loop, so that bytes can arrive
+/// at the gateway while its loop is blocked.
+class RawSocket
+{
+public:
+  explicit RawSocket(const std::string& aAddress)
+    : m_socket(m_io)
+  {
+    m_socket.connect(EndpointOf(aAddress));
+    Configure();
+  }
+  explicit RawSocket(Tcp::acceptor& aAcceptor)
+    : m_socket(m_io)
+  {
+    aAcceptor.accept(m_socket);
+    Configure();
+  }
+
+  void Send(const std::string& aBytes)
+  {
+    asio::write(m_socket, asio::buffer(aBytes));
+  }
+
+  /// All bytes received so far.
+  const std::string& Received()
+  {
+    std::array<char, 65536> bytes{};
+    boost::system::error_code error;
+    while (!error) {
+      const std::size_t count = m_socket.read_some(asio::buffer(bytes), error);
+      m_received.append(bytes.data(), count);
+    }
+    m_isClosed = m_isClosed || error != asio::error::would_block;
+    return m_received;
+  }
+
+  bool IsClosedByGateway()
+  {
+    Received();
+    return m_isClosed;
+  }
+
+  Tcp::socket& Socket() { return m_socket; }
+
+private:
+  void Configure()
+  {
+    m_socket.set_option(Tcp::no_delay(true));
+    m_socket.non_blocking(true);
+  }
+
+  asio::io_context m_io{ 1 };
+  Tcp::socket m_socket;
+  std::string m_received;
+  bool m_isClosed = false;
+};
+
+std::string
+KeepAliveRequest(const std::string& aPath,
+                 const std::string& aExtraFields = {},
+                 const std::string& aBody = "body")
+{
+  std::string request = GatewayFixture::Request(aPath, aExtraFields, aBody);
+  const std::string closeField = "Connection: close\r\n";
+  request.erase(request.find(closeField), closeField.size());
+  return request;
+}
+
+/// A field that makes a request larger than one read of the gateway.
+std::string
+LongField(std::size_t aLength)
+{
+  return "X-Filler: " + std::string(aLength, 'x') + "\r\n";
+}
+
+/// Runs the loop until a tick is due, then \p aArrive and \p aTime without the
+/// loop: the tick precedes the next poll of the sockets.
+void
+BlockBeforeTick(GatewayFixture& aFixture,
+                milliseconds aTime,
+                std::function<void()> aArrive)
+{
+  asio::post(aFixture.m_io, [&aFixture, aTime, arrive = std::move(aArrive)] {
+    std::this_thread::sleep_for(milliseconds(25));
+    asio::post(aFixture.m_io, [aTime, arrive] {
+      arrive();
+      std::this_thread::sleep_for(aTime);
+    });
+  });
+}
+
+/// Runs \p aArrive, then blocks the loop for \p aTime; the sockets are polled
+/// together with the late tick.
+void
+Block(GatewayFixture& aFixture,
+      milliseconds aTime,
+      std::function<void()> aArrive)
+{
+  asio::post(aFixture.m_io, [aTime, arrive = std::move(aArrive)] {
+    arrive();
+    std::this_thread::sleep_for(aTime);
+  });
+}
+
+void
+Answer(GatewayFixture& aFixture)
+{
+  aFixture.m_firstUpstream.m_scripts = { { GatewayFixture::SealedResponse() } };
+  aFixture.m_secondUpstream.m_scripts = {
+    { GatewayFixture::SealedResponse() }
+  };
+}
+
+} // namespace
+
+// Regression: a complete request was in the kernel when a late tick closed its
+// connection.
+TEST_CASE("a request that arrives in time while the event loop is blocked",
+          "[forwarding][timeout]")
+{
+  GatewayFixture fixture;
+  REQUIRE(fixture.m_startStatus.ok());
+  Answer(fixture);
+  constexpr milliseconds kTimeout(300);
+  constexpr milliseconds kBlocked(500);
+  CallerLimits limits;
+  const bool isTickFirst = GENERATE(true, false);
+  const auto block = isTickFirst ? BlockBeforeTick : Block;
+  INFO((isTickFirst ? "tick before poll" : "tick after poll"));
+
+  SECTION("is served on a connection that was idle until then")
+  {
+    limits.m_idleTimeout = kTimeout;
+    fixture.SetLimits(limits);
+    RawSocket caller(fixture.m_callerAddress);
+    fixture.RunFor(milliseconds(100));
+    block(fixture, kBlocked, [&] { caller.Send(KeepAliveRequest("/once/")); });
+    fixture.RunFor(milliseconds(800));
+    CHECK(caller.Received().substr(0, 12) == "HTTP/1.1 200");
+  }
+
+  SECTION("is served if the rest of its head arrives then")
+  {
+    limits.m_headerTimeout = kTimeout;
+    fixture.SetLimits(limits);
+    RawSocket caller(fixture.m_callerAddress);
+    const std::size_t fieldLength = GENERATE(500, 3000);
+    const std::string request =
+      KeepAliveRequest("/once/", LongField(fieldLength));
+    caller.Send(request.substr(0, 20));
+    fixture.RunFor(milliseconds(100));
+    block(fixture, kBlocked, [&] { caller.Send(request.substr(20)); });
+    fixture.RunFor(milliseconds(800));
+    INFO(fixture.m_firstUpstream.m_requests.size() +
+           fixture.m_secondUpstream.m_requests.size()
+         << " requests were passed on");
+    CHECK(caller.Received().substr(0, 12) == "HTTP/1.1 200");
+  }
+
+  SECTION("is served if the rest of its body arrives then")
+  {
+    fixture.m_state.m_options.m_bodyTimeout = kTimeout;
+    fixture.SetLimits(limits);
+    RawSocket caller(fixture.m_callerAddress);
+    const std::string request =
+      KeepAliveRequest("/once/", "", std::string(100'000, 'x'));
+    const std::size_t bodyBegin = request.size() - 99'000;
+    caller.Send(request.substr(0, bodyBegin));
+    fixture.RunFor(milliseconds(100));
+    block(fixture, kBlocked, [&] { caller.Send(request.substr(bodyBegin)); });
+    fixture.RunFor(milliseconds(800));
+    CHECK(caller.Received().substr(0, 12) == "HTTP/1.1 200");
+  }
+
+  SECTION("is served if the caller could not send its rest meanwhile")
+  {
+    fixture.m_state.m_options.m_bodyTimeout = kTimeout;
+    fixture.SetLimits(limits);
+    RawSocket caller(fixture.m_callerAddress);
+    const std::string request = KeepAliveRequest("/once/");
+    caller.Send(request.substr(0, request.size() - 2));
+    fixture.RunFor(milliseconds(100));
+    block(fixture, kBlocked, [] {});
+    asio::steady_timer later(fixture.m_io, milliseconds(540));
+    later.async_wait([&](const boost::system::error_code&) {
+      caller.Send(request.substr(request.size() - 2));
+    });
+    fixture.RunFor(milliseconds(1200));
+    CHECK(caller.Received().substr(0, 12) == "HTTP/1.1 200");
+  }
+}
+
+TEST_CASE("a caller that sends nothing, or too slowly", "[forwarding][timeout]")
+{
+  GatewayFixture fixture;
+  REQUIRE(fixture.m_startStatus.ok());
+  constexpr milliseconds kTimeout(200);
+  CallerLimits limits;
+  const std::string request = KeepAliveRequest("/once/");
+
+  SECTION("is disconnected at the idle timeout")
+  {
+    limits.m_idleTimeout = kTimeout;
+    fixture.SetLimits(limits);
+    RawSocket caller(fixture.m_callerAddress);
+    fixture.RunFor(milliseconds(100));
+    CHECK_FALSE(caller.IsClosedByGateway());
+    fixture.RunFor(milliseconds(200));
+    CHECK(caller.IsClosedByGateway());
+  }
+
+  SECTION("is disconnected soon after a blocked loop resumes")
+  {
+    limits.m_idleTimeout = kTimeout;
+    fixture.SetLimits(limits);
+    RawSocket caller(fixture.m_callerAddress);
+    fixture.RunFor(milliseconds(100));
+    Block(fixture, milliseconds(400), [] {});
+    fixture.RunFor(milliseconds(750));
+    CHECK(caller.IsClosedByGateway());
+  }
+
+  SECTION("is disconnected at the header timeout, byte by byte")
+  {
+    limits.m_headerTimeout = kTimeout;
+    fixture.SetLimits(limits);
+    RawSocket caller(fixture.m_callerAddress);
+    for (std::size_t i = 0; i < 30 && !caller.IsClosedByGateway(); ++i) {
+      caller.Send(request.substr(i, 1));
+      fixture.RunFor(milliseconds(10));
+    }
+    CHECK(caller.IsClosedByGateway());
+  }
+
+  SECTION("is disconnected at the body timeout")
+  {
+    fixture.m_state.m_options.m_bodyTimeout = kTimeout;
+    RawSocket caller(fixture.m_callerAddress);
+    caller.Send(request.substr(0, request.size() - 1));
+    fixture.RunFor(milliseconds(100));
+    CHECK_FALSE(caller.IsClosedByGateway());
+    fixture.RunFor(milliseconds(200));
+    CHECK(caller.IsClosedByGateway());
+  }
+}
--- a/unittests/Platform/Loopback.h
+++ b/unittests/Platform/Loopback.h
@@ -153,6 +153,14 @@
 
   void RunFor(std::chrono::milliseconds aTime) { m_io.run_for(aTime); }
 
+  /// Puts a configuration in force that differs only in its limits.
+  void SetLimits(const CallerLimits& aLimits)
+  {
+    RoutingConfig config = Config();
+    config.m_limits = aLimits;
+    m_state.m_routes = std::make_shared<const RouteTable>(std::move(config));
+  }
+
   static std::string Request(const std::string& aPath,
                              const std::string& aExtraFields = {},
                              const std::string& aBody = "body")
