Forwarding: a blocked event loop does not abort exchanges that have answers

Callers saw: 504 for a request whose whole answer had reached the router before the deadline, and a stream or repeatable call that was sent to a second upstream, or ended, although the first had answered.

Cause: RequestRun::Tick compared deadline and idle timeout with the time of day only. After a blocked turn of the event loop the tick runs before the reads, or between two reads of one answer. UpstreamExchange::ReadBody also took a body whose last read had completed for incomplete if the abort came before the read's handler ran.

Evidence: "an answer that arrives in time while the event loop is blocked" before the fix, 24 of its assertions failed (each section, tick before and after the poll, answers of one and of several reads): CallerConnectionTest.cpp:346: FAILED: CHECK( caller.Received().substr(0, 12) == "HTTP/1.1 200" ) "HTTP/1.1 504" == "HTTP/1.1 200" CallerConnectionTest.cpp:359: FAILED: CHECK_FALSE( upstream.HasPendingExchange() ) CallerConnectionTest.cpp:375: FAILED: CHECK( caller.Received().ends_with("0\r\n\r\n") ) After it none fails.

Why it works: an overdue exchange goes on while its socket holds unread bytes, for at most 200 ms, so an upstream that never ceases is still cut ("an upstream whose answer is late", passed before and after). A body is complete if the parser says so and the read had no error: an aborted read has one. Timeouts, but not the deadline, are extended by the time of a blocked loop.

AwaitCredit polls its result once more after its limit and sends 503, so nothing is lost there.

--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -27,8 +27,10 @@
   /// Returns when the response was sent or the caller has disconnected.
   Awaitable<void> Serve();
 
-  /// Aborts the exchange if a deadline or a timeout has passed.
-  void Tick(Instant aNow);
+  /// Aborts the exchange if a deadline or a timeout has passed and no bytes
+  /// have arrived. \p aStall, a time during which the event loop was blocked,
+  /// extends the timeout but not the deadline.
+  void Tick(Instant aNow, Duration aStall);
 
 private:
   /// Result of an exchange with an upstream.
@@ -101,6 +103,8 @@
   Instant m_arrivedAt;
   Instant m_deadline;
   std::optional<Instant> m_idleDeadline;
+  /// First tick that found the deadline or the timeout passed.
+  std::optional<Instant> m_overdueSince;
   std::uint64_t m_allotted = 0; ///< Tokens.
   std::uint64_t m_charged = 0;  ///< Part of m_allotted, set by SettleCredit.
   Duration m_creditWaitTime{ 0 };
--- a/include/bergamotpaddle/Forwarding/UpstreamExchange.h
+++ b/include/bergamotpaddle/Forwarding/UpstreamExchange.h
@@ -63,6 +63,9 @@
   /// Whether the body was received completely.
   bool IsComplete() const { return m_isComplete; }
 
+  /// Whether bytes have arrived that are not read yet.
+  bool HasUnreadBytes() const;
+
   /// Closes the connection; the first reason is kept.
   void Abort(AbortReason aReason);
   AbortReason GetAbortReason() const { return m_abortReason; }
--- a/lib/Forwarding/GatewayServer.cpp
+++ b/lib/Forwarding/GatewayServer.cpp
@@ -239,7 +239,7 @@
     for (auto& [id, session] : m_sessions) {
       session.m_caller->Tick(now, stall);
       if (session.m_run) {
-        session.m_run->Tick(now);
+        session.m_run->Tick(now, stall);
       }
     }
     if (now >= logDue) {
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -11,6 +11,10 @@
 constexpr int kFirstServerError = 500;
 constexpr int kOkBegin = 200;
 constexpr int kOkEnd = 300;
+/// Longest time for which an overdue exchange continues because bytes wait to
+/// be read: less than half of the 500 ms within which callers expect the final
+/// response after a deadline.
+constexpr Duration kMaxOverdue = std::chrono::milliseconds(200);
 
 bool
 IsSuccess(int aStatus)
@@ -506,17 +510,28 @@
 }
 
 void
-RequestRun::Tick(Instant aNow)
+RequestRun::Tick(Instant aNow, Duration aStall)
 {
   if (!m_exchange) {
     return;
   }
-  if (aNow >= m_deadline) {
-    m_exchange->Abort(AbortReason::kDeadline);
-  } else if (m_idleDeadline && aNow >= *m_idleDeadline) {
-    m_idleDeadline.reset();
-    m_exchange->Abort(AbortReason::kIdleTimeout);
+  if (m_idleDeadline) {
+    *m_idleDeadline += aStall;
+  }
+  const bool isDeadlinePassed = aNow >= m_deadline;
+  if (!isDeadlinePassed && !(m_idleDeadline && aNow >= *m_idleDeadline)) {
+    m_overdueSince.reset();
+    return;
+  }
+  if (!m_overdueSince) {
+    m_overdueSince = aNow;
   }
+  if (m_exchange->HasUnreadBytes() && aNow - *m_overdueSince < kMaxOverdue) {
+    return;
+  }
+  m_idleDeadline.reset();
+  m_exchange->Abort(isDeadlinePassed ? AbortReason::kDeadline
+                                     : AbortReason::kIdleTimeout);
 }
 
 void
--- a/lib/Forwarding/UpstreamExchange.cpp
+++ b/lib/Forwarding/UpstreamExchange.cpp
@@ -124,12 +124,18 @@
   }
   m_error = error ? error.message() : std::string();
   // A response without a length is complete when the connection ends, unless
-  // the connection was reset.
-  m_isComplete =
-    m_parser->is_done() && !error && m_abortReason == AbortReason::kNone;
+  // the connection was reset or the exchange aborted, which are read errors.
+  m_isComplete = m_parser->is_done() && !error;
   co_return bytes;
 }
 
+bool
+UpstreamExchange::HasUnreadBytes() const
+{
+  ErrorCode ignored;
+  return m_socket.available(ignored) > 0;
+}
+
 void
 UpstreamExchange::Abort(AbortReason aReason)
 {
--- a/unittests/Platform/CallerConnectionTest.cpp
+++ b/unittests/Platform/CallerConnectionTest.cpp
@@ -264,3 +264,157 @@
     CHECK(caller.IsClosedByGateway());
   }
 }
+
+namespace {
+
+/// An upstream that the test itself plays, in place of both upstreams.
+class ManualUpstream
+{
+public:
+  explicit ManualUpstream(GatewayFixture& aFixture)
+    : m_acceptor(m_io, { asio::ip::make_address("127.0.0.1"), 0 })
+  {
+    m_acceptor.non_blocking(true);
+    for (const char* id : { "u1", "u2" }) {
+      UpstreamEntry entry =
+        aFixture.m_state.m_upstreams.Find(UpstreamId(id))->m_entry;
+      entry.m_address =
+        "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+      aFixture.m_state.m_upstreams.Upsert(entry);
+    }
+  }
+
+  /// The next exchange of the gateway. Requires that it has connected.
+  RawSocket Accept() { return RawSocket(m_acceptor); }
+
+  /// Whether the gateway has begun another exchange.
+  bool HasPendingExchange()
+  {
+    boost::system::error_code error;
+    Tcp::socket socket(m_io);
+    m_acceptor.accept(socket, error);
+    return !error;
+  }
+
+private:
+  asio::io_context m_io{ 1 };
+  Tcp::acceptor m_acceptor;
+};
+
+std::string
+AnswerOf(const std::string& aBody)
+{
+  std::string answer = GatewayFixture::SealedResponse(aBody);
+  return answer.replace(answer.find("{ID}"), 4, "a1b2");
+}
+
+std::string
+StreamHeadOf()
+{
+  std::string head = GatewayFixture::StreamHead();
+  return head.replace(head.find("{ID}"), 4, "a1b2");
+}
+
+} // namespace
+
+// Regression: a late tick aborted exchanges whose answers were in the kernel.
+TEST_CASE("an answer that arrives in time while the event loop is blocked",
+          "[forwarding][timeout]")
+{
+  GatewayFixture fixture;
+  REQUIRE(fixture.m_startStatus.ok());
+  ManualUpstream upstream(fixture);
+  ForwardingOptions& options = fixture.m_state.m_options;
+  constexpr milliseconds kTimeout(300);
+  constexpr milliseconds kBlocked(500);
+  const bool isTickFirst = GENERATE(true, false);
+  const auto block = isTickFirst ? BlockBeforeTick : Block;
+  INFO((isTickFirst ? "tick before poll" : "tick after poll"));
+  RawSocket caller(fixture.m_callerAddress);
+  // Small enough for one read, or a few reads.
+  const std::string body(GENERATE(4, 20'000), 'b');
+
+  SECTION("is delivered although its deadline passed meanwhile")
+  {
+    std::string request = KeepAliveRequest("/once/");
+    request.replace(request.find("1500"), 4, "300");
+    caller.Send(request);
+    fixture.RunFor(milliseconds(100));
+    RawSocket exchange = upstream.Accept();
+    block(fixture, kBlocked, [&] { exchange.Send(AnswerOf(body)); });
+    fixture.RunFor(milliseconds(800));
+    CHECK(caller.Received().substr(0, 12) == "HTTP/1.1 200");
+    CHECK(caller.Received().ends_with("\r\n\r\n" + body));
+  }
+
+  SECTION("is delivered and its request not sent again")
+  {
+    options.m_minResponseTimeout = kTimeout;
+    caller.Send(KeepAliveRequest("/again/"));
+    fixture.RunFor(milliseconds(100));
+    RawSocket exchange = upstream.Accept();
+    block(fixture, kBlocked, [&] { exchange.Send(AnswerOf(body)); });
+    fixture.RunFor(milliseconds(800));
+    CHECK(caller.Received().ends_with("\r\n\r\n" + body));
+    CHECK_FALSE(upstream.HasPendingExchange());
+  }
+
+  SECTION("is delivered if it is the rest of a stream")
+  {
+    options.m_streamIdleTimeout = kTimeout;
+    caller.Send(KeepAliveRequest("/resume/"));
+    fixture.RunFor(milliseconds(100));
+    RawSocket exchange = upstream.Accept();
+    exchange.Send(StreamHeadOf() + GatewayFixture::Chunk("id: 1\ndata: a\n\n"));
+    fixture.RunFor(milliseconds(100));
+    block(fixture, kBlocked, [&] {
+      exchange.Send(GatewayFixture::Chunk("id: 2\ndata: " + body + "\n\n") +
+                    "0\r\n\r\n");
+    });
+    fixture.RunFor(milliseconds(800));
+    CHECK(caller.Received().ends_with("0\r\n\r\n"));
+    CHECK_FALSE(upstream.HasPendingExchange());
+  }
+}
+
+TEST_CASE("an upstream whose answer is late", "[forwarding][timeout]")
+{
+  GatewayFixture fixture;
+  REQUIRE(fixture.m_startStatus.ok());
+  ManualUpstream upstream(fixture);
+  RawSocket caller(fixture.m_callerAddress);
+  std::string request = KeepAliveRequest("/stream/");
+  request.replace(request.find("1500"), 4, "300");
+  caller.Send(request);
+  fixture.RunFor(milliseconds(100));
+  RawSocket exchange = upstream.Accept();
+
+  SECTION("is given up soon after a blocked loop resumes")
+  {
+    Block(fixture, milliseconds(400), [] {});
+    fixture.RunFor(milliseconds(500));
+    CHECK(caller.Received().substr(0, 12) == "HTTP/1.1 504");
+  }
+
+  SECTION("is given up soon after the deadline even if bytes never cease")
+  {
+    const std::string chunk =
+      GatewayFixture::Chunk("data: " + std::string(4000, 'x') + "\n\n");
+    std::string unsent = StreamHeadOf();
+    const std::function<void()> pump = [&] {
+      while (unsent.size() < 200'000) {
+        unsent += chunk;
+      }
+      boost::system::error_code error;
+      unsent.erase(0,
+                   exchange.Socket().write_some(asio::buffer(unsent), error));
+      caller.Received();
+      asio::post(fixture.m_io, pump);
+    };
+    pump();
+    fixture.RunFor(milliseconds(650));
+    CHECK(caller.IsClosedByGateway());
+    CHECK(caller.Received().size() > chunk.size());
+    CHECK_FALSE(caller.Received().ends_with("0\r\n\r\n"));
+  }
+}
