Forwarding: a rejection is not framed like an earlier response

Callers saw: a 503 "too many bodies are in memory" without `Connection: close` after which the connection was closed, so a next request that crossed the close got no answer; after a HEAD request, a rejection with a `Content-Length` but without that body; and a body in the rejection of a malformed HEAD request.

Cause: ReadRequest set m_keepAlive, m_isHttp10 and m_isHeadRequest only for a request that it had read completely. A rejection during the read used those of the previous request on the connection.

Evidence: "a rejection that ends a kept connection" before the fix, 3 of 19 assertions failed: CallerConnectionTest.cpp:451: FAILED: CHECK( response.find(closeField) != std::string::npos ) CallerConnectionTest.cpp:475: FAILED: CHECK( hasBody(response) ) CallerConnectionTest.cpp:483: FAILED: CHECK_FALSE( hasBody(response) ) After it all hold.

Why it works: the three are reset before each request, to a connection that is closed after the response, and the method is taken from the head as soon as it is parsed. Every kRejected path now announces the close.

Elsewhere: the rejection of a too long body after `Expect: 100-continue` announced the close already (same test). An idle timeout that a new configuration shortens does not apply to a wait that has begun ("an idle connection when the idle timeout becomes shorter", passed before the fix).

--- a/lib/Forwarding/CallerConnection.cpp
+++ b/lib/Forwarding/CallerConnection.cpp
@@ -121,6 +121,10 @@
   m_state->m_bufferedRequestBytes -= std::exchange(m_countedBodyBytes, 0);
   m_request = {};
   m_hasBegunResponse = false;
+  // A rejection must not be framed like the response to an earlier request.
+  m_keepAlive = false;
+  m_isHttp10 = false;
+  m_isHeadRequest = false;
   if (!m_isOpen || !co_await WaitForBytes()) {
     co_return ReadResult::kClosed;
   }
@@ -136,6 +140,7 @@
   m_waitDeadline = startedAt + limits.m_headerTimeout;
   std::size_t received =
     co_await http::async_read_header(m_socket, m_buffer, parser, Into(error));
+  m_isHeadRequest = parser.get().method() == http::verb::head;
   if (!error && m_state->m_bufferedRequestBytes >
                   m_state->m_options.m_maxBufferedRequestBytes) {
     const LocalResponse refusal{ kUnavailable,
@@ -166,7 +171,6 @@
     const bool isTransportError =
       error.category() != make_error_code(http::error::bad_field).category();
     if (!isTransportError) {
-      m_keepAlive = false;
       const LocalResponse rejection = ResponseToParseError(error);
       co_await SendLocalResponse(rejection);
     } else if (!m_socket.is_open()) {
@@ -177,7 +181,6 @@
   auto message = parser.release();
   m_keepAlive = message.keep_alive() && !m_state->m_isStopping;
   m_isHttp10 = message.version() < 11;
-  m_isHeadRequest = message.method() == http::verb::head;
   m_request.m_method = ToString(message.method_string());
   m_request.m_target = ToString(message.target());
   for (const auto& field : message) {
--- a/unittests/Platform/CallerConnectionTest.cpp
+++ b/unittests/Platform/CallerConnectionTest.cpp
@@ -418,3 +418,89 @@
     CHECK_FALSE(caller.Received().ends_with("0\r\n\r\n"));
   }
 }
+
+// Regression: a rejection was framed like the response to the request before
+// it on the same connection.
+TEST_CASE("a rejection that ends a kept connection", "[forwarding][reject]")
+{
+  GatewayFixture fixture;
+  REQUIRE(fixture.m_startStatus.ok());
+  Answer(fixture);
+  RawSocket caller(fixture.m_callerAddress);
+  const auto respond = [&](const std::string& aRequest) {
+    const std::size_t begin = caller.Received().size();
+    caller.Send(aRequest);
+    fixture.RunFor(milliseconds(100));
+    return caller.Received().substr(begin);
+  };
+  const std::string malformed = "no request\r\n\r\n";
+  const std::string closeField = "Connection: close\r\n";
+  const auto hasBody = [](const std::string& aResponse) {
+    return aResponse.ends_with("}");
+  };
+
+  SECTION("announces the close if too many bodies are in memory")
+  {
+    REQUIRE(respond(KeepAliveRequest("/once/")).starts_with("HTTP/1.1 200"));
+    const std::uint64_t excess =
+      fixture.m_state.m_options.m_maxBufferedRequestBytes + 1;
+    fixture.m_state.m_bufferedRequestBytes += excess;
+    const std::string response = respond(KeepAliveRequest("/once/"));
+    fixture.m_state.m_bufferedRequestBytes -= excess;
+    CHECK(response.starts_with("HTTP/1.1 503"));
+    CHECK(response.find(closeField) != std::string::npos);
+    CHECK(response.find("Retry-After: ") != std::string::npos);
+    CHECK(caller.IsClosedByGateway());
+  }
+
+  SECTION("announces the close if a body that is expected is too long")
+  {
+    const std::string response = respond(KeepAliveRequest(
+      "/once/", "Expect: 100-continue\r\n", std::string(2000, 'x')));
+    CHECK(response.find("HTTP/1.1 413") != std::string::npos);
+    CHECK(response.find(closeField) != std::string::npos);
+    CHECK(hasBody(response));
+  }
+
+  SECTION("has its body after the response to a HEAD request")
+  {
+    std::string head = KeepAliveRequest("/none/", "", "");
+    head.replace(0, 4, "HEAD");
+    const std::string headResponse = respond(head);
+    REQUIRE(headResponse.starts_with("HTTP/1.1 404"));
+    CHECK_FALSE(hasBody(headResponse));
+    const std::string response = respond(malformed);
+    CHECK(response.starts_with("HTTP/1.1 400"));
+    CHECK(response.find(closeField) != std::string::npos);
+    CHECK(hasBody(response));
+  }
+
+  SECTION("has no body in response to a HEAD request")
+  {
+    const std::string response =
+      respond("HEAD /once/ HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n");
+    CHECK(response.starts_with("HTTP/1.1 400"));
+    CHECK_FALSE(hasBody(response));
+  }
+}
+
+TEST_CASE("an idle connection when the idle timeout becomes shorter",
+          "[forwarding][timeout]")
+{
+  GatewayFixture fixture;
+  REQUIRE(fixture.m_startStatus.ok());
+  Answer(fixture);
+  CallerLimits limits;
+  limits.m_idleTimeout = milliseconds(600);
+  fixture.SetLimits(limits);
+  RawSocket caller(fixture.m_callerAddress);
+  fixture.RunFor(milliseconds(100));
+  limits.m_idleTimeout = milliseconds(50);
+  fixture.SetLimits(limits);
+  fixture.RunFor(milliseconds(300));
+  caller.Send(KeepAliveRequest("/once/"));
+  fixture.RunFor(milliseconds(30));
+  CHECK(caller.Received().starts_with("HTTP/1.1 200"));
+  fixture.RunFor(milliseconds(300));
+  CHECK(caller.IsClosedByGateway());
+}
