Forwarding: a shutdown does not close connections with unread requests

Callers saw: a connection closed during a planned stop without an answer, although their whole request had arrived while the connection counted as idle.

Cause: CheckStop closed every connection whose read had not been handled yet. A tick after a blocked turn of the event loop, or before the poll has reported all of many readable sockets, precedes that read.

Evidence: "a request that arrives while a shutdown closes idle connections" before the fix, with the tick before the poll (2 of 29 assertions): CallerConnectionTest.cpp:527: FAILED: CHECK( caller.Received().starts_with("HTTP/1.1 200") ) After it all hold; connections without bytes are closed and the stop completes, as before.

Why it works: the wait of an idle connection ends as at a timeout, by cancellation and only if the kernel holds no byte. Each later tick tries again.

Elsewhere: FinishResponse closes a connection during a stop although an earlier head announced a persistent one; the test of a planned shutdown demands that.

--- a/include/bergamotpaddle/Forwarding/CallerConnection.h
+++ b/include/bergamotpaddle/Forwarding/CallerConnection.h
@@ -66,6 +66,8 @@
   /// have arrived. \p aStall, a time during which the event loop was blocked,
   /// does not count.
   void Tick(Instant aNow, Duration aStall);
+  /// Ends the wait for the first byte of a request, unless bytes have arrived.
+  void EndIdleWait();
   void Close();
   /// Closes the connection after the caller has read the last response or a
   /// timeout has expired.
@@ -73,8 +75,6 @@
 
   /// Whether another request may be read from this connection.
   bool IsOpen() const { return m_isOpen; }
-  /// Whether the connection waits for the first byte of a request.
-  bool IsIdle() const { return m_isIdle; }
   bool HasBegunResponse() const { return m_hasBegunResponse; }
 
 private:
@@ -86,6 +86,8 @@
                          const FieldList& aFields) const;
   void FinishResponse();
   void CheckForDisconnect(std::uint64_t aWatchId);
+  /// Ends a pending read, unless bytes have arrived.
+  void EndWait();
   /// Whether bytes have arrived that are not read yet.
   bool HasUnreadBytes() const;
 
--- a/lib/Forwarding/CallerConnection.cpp
+++ b/lib/Forwarding/CallerConnection.cpp
@@ -385,14 +385,31 @@
     return;
   }
   *m_waitDeadline += aStall;
-  if (aNow >= *m_waitDeadline && !HasUnreadBytes()) {
-    // Unlike Close, this does not affect a read that has completed but whose
-    // handler has not run yet.
-    ErrorCode ignored;
-    m_socket.cancel(ignored);
+  if (aNow >= *m_waitDeadline) {
+    EndWait();
   }
 }
 
+void
+CallerConnection::EndIdleWait()
+{
+  if (m_isIdle) {
+    EndWait();
+  }
+}
+
+void
+CallerConnection::EndWait()
+{
+  if (HasUnreadBytes()) {
+    return;
+  }
+  // Unlike Close, this does not affect a read that has completed but whose
+  // handler has not run yet.
+  ErrorCode ignored;
+  m_socket.cancel(ignored);
+}
+
 void
 CallerConnection::Close()
 {
--- a/lib/Forwarding/GatewayServer.cpp
+++ b/lib/Forwarding/GatewayServer.cpp
@@ -275,9 +275,7 @@
     m_callerAcceptor.close();
   }
   for (auto& [id, session] : m_sessions) {
-    if (session.m_caller->IsIdle()) {
-      session.m_caller->Close();
-    }
+    session.m_caller->EndIdleWait();
   }
   // Time that the process needs to exit before the platform kills it.
   constexpr Duration kForcedStopMargin = std::chrono::milliseconds(600);
--- a/unittests/Platform/CallerConnectionTest.cpp
+++ b/unittests/Platform/CallerConnectionTest.cpp
@@ -504,3 +504,29 @@
   fixture.RunFor(milliseconds(300));
   CHECK(caller.IsClosedByGateway());
 }
+
+// Regression: a shutdown closed a connection whose next request had arrived.
+TEST_CASE("a request that arrives while a shutdown closes idle connections",
+          "[forwarding][stop]")
+{
+  GatewayFixture fixture;
+  REQUIRE(fixture.m_startStatus.ok());
+  Answer(fixture);
+  bool isStopped = false;
+  RawSocket caller(fixture.m_callerAddress);
+  RawSocket idleCaller(fixture.m_callerAddress);
+  fixture.RunFor(milliseconds(50));
+  fixture.m_server.BeginStop([&] { isStopped = true; });
+  fixture.RunFor(milliseconds(20));
+  const bool isTickFirst = GENERATE(true, false);
+  const auto block = isTickFirst ? BlockBeforeTick : Block;
+  block(fixture, milliseconds(300), [&] {
+    caller.Send(KeepAliveRequest("/once/"));
+  });
+  fixture.RunFor(milliseconds(600));
+  CHECK(caller.Received().starts_with("HTTP/1.1 200"));
+  CHECK(caller.Received().find("Connection: close\r\n") != std::string::npos);
+  CHECK(idleCaller.IsClosedByGateway());
+  fixture.RunFor(milliseconds(600));
+  CHECK(isStopped);
+}
