Documents: reject numbers that their field cannot hold

Callers saw: an entry of another writer with, say, "slots": -1 counted as an upstream. By reading of Placement: its capacity is negative, so that it takes no request but makes the service look overloaded, and it distorts the size of the light partition. 1e300 became an arbitrary number, not the same on all machines.

Cause: numbers were converted by nlohmann's get<int>() or by a cast from double. Neither checks the range; the result of the latter is undefined and differs between arm64 and x86-64. Booleans were taken for numbers, and "coldLeftMs" of another type for 0.

In an entry, numbers must be whole, "slots" at least 1, "born" at least 0.

--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -56,6 +56,45 @@
     CHECK_FALSE(
       ReadConfiguration(R"({"version":1,"routes":[{}],"services":[]})").ok());
   }
+
+  // Regression: such a version was accepted with an arbitrary number instead.
+  SECTION("with a number that its field cannot hold is rejected")
+  {
+    const auto replace = [&text](const std::string& aFrom,
+                                 const std::string& aTo) {
+      std::string changed = text;
+      const std::size_t at = changed.find(aFrom);
+      REQUIRE(at != std::string::npos);
+      return changed.replace(at, aFrom.size(), aTo);
+    };
+    for (const char* field : { "version\":7",
+                               "timeoutMs\":5000",
+                               "sloMs\":300",
+                               "gapAimMs\":200",
+                               "priority\":1",
+                               "attempts\":2",
+                               "maxConns\":230",
+                               "slots\":32",
+                               "stride\":4",
+                               "kvCapacity\":453136",
+                               "maxHeaderBytes\":16384",
+                               "maxBodyBytes\":100",
+                               "headerTimeoutMs\":3000",
+                               "idleTimeoutMs\":15000",
+                               "prepaid\":6729959" }) {
+      const std::string number(field);
+      const std::string name = number.substr(0, number.find(':') + 1);
+      for (const char* value : { "1e300", "-1e300", "18446744073709551616" }) {
+        CAPTURE(field, value);
+        const std::string odd = replace(number, name + value);
+        CHECK_FALSE(ReadConfiguration(odd).ok());
+        CHECK_FALSE(ConfigurationReader().Read(odd).ok());
+      }
+    }
+    CHECK_FALSE(ReadConfiguration(replace("version\":7", "version\":-1")).ok());
+    CHECK_FALSE(
+      ReadConfiguration(replace("prepaid\":6729959", "prepaid\":-1")).ok());
+  }
 }
 
 TEST_CASE("successive versions of the configuration", "[documents][fuzz]")
@@ -143,6 +182,48 @@
       CHECK_FALSE(ReadUpstreamEntry("i-1", garbage).ok());
     }
   }
+
+  const auto with = [&text](const std::string& aName,
+                            const std::string& aValue) {
+    // The last of several equal names counts.
+    return text.substr(0, text.size() - 1) + ",\"" + aName + "\":" + aValue +
+           "}";
+  };
+
+  // Regression: such an entry was accepted with an arbitrary number instead.
+  SECTION("with a number that its field cannot hold is rejected")
+  {
+    for (const char* value : { "1e300",
+                               "-1e300",
+                               "-1",
+                               "4294967297",
+                               "9223372036854775808",
+                               "18446744073709551616",
+                               "true",
+                               "\"6\"",
+                               "null",
+                               "[6]" }) {
+      CAPTURE(value);
+      CHECK_FALSE(ReadUpstreamEntry("i-1", with("slots", value)).ok());
+      if (value != std::string("4294967297")) {
+        CHECK_FALSE(ReadUpstreamEntry("i-1", with("born", value)).ok());
+        CHECK_FALSE(ReadUpstreamEntry("i-1", with("coldLeftMs", value)).ok());
+      }
+    }
+    CHECK_FALSE(ReadUpstreamEntry("i-1", with("slots", "0")).ok());
+    CHECK_FALSE(ReadUpstreamEntry("i-1", with("slots", "1.5")).ok());
+    CHECK_FALSE(ReadUpstreamEntry("i-1", with("born", "1.5")).ok());
+    CHECK_FALSE(ReadUpstreamEntry("i-1", with("slots", "1e999")).ok());
+  }
+
+  SECTION("with numbers in another notation is parsed")
+  {
+    CHECK(ReadUpstreamEntry("i-1", with("slots", "6.0"))->m_slots == 6);
+    CHECK(ReadUpstreamEntry("i-1", with("born", "1.7e12"))->m_startedAtMs ==
+          1700000000000);
+    CHECK(ReadUpstreamEntry("i-1", with("coldLeftMs", "1.5"))->m_warmupTime ==
+          std::chrono::microseconds(1500));
+  }
 }
 
 TEST_CASE("the settings file", "[documents]")
