--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -130,6 +130,31 @@
         .m_readResponse(200, "", { { "Bergamotpaddle-Server-Load", "1,x,8" } })
         .m_load.has_value());
   }
+
+  // Regression: the cast of such numbers was undefined.
+  SECTION("with numbers in the load that are out of range, without it")
+  {
+    for (const char* load : { "1e300,0,8",
+                              "0,1e300,8",
+                              "0,0,1e300",
+                              "nan,0,8",
+                              "inf,0,8",
+                              "-1,0,8",
+                              "0,-inf,8",
+                              "0,0,-8",
+                              "0,0,2147483648",
+                              "0,0,8,nan",
+                              "0,0,8,inf",
+                              "0,0,8,1e300",
+                              "0,0,8,-1",
+                              "0,0,8,1e999" }) {
+      CAPTURE(load);
+      CHECK_FALSE(
+        dialect
+          .m_readResponse(200, "", { { "Bergamotpaddle-Server-Load", load } })
+          .m_load.has_value());
+    }
+  }
 }
 
 TEST_CASE("header fields that a router adds to a request", "[dialect]")
