Documents: reject an upstream's address that accepts no connection

Callers saw: an entry with a port out of range, or with a multicast or unspecified address, counted as an upstream. An attempt placed there never connects; after the pause that follows a failure it is chosen again.

Cause: the address was only parsed when a connection was opened.

The fix: the entry's address must parse as IP:PORT, with a port from 1 on and an address that is neither unspecified, multicast nor broadcast. A null character in an address is rejected too; Asio ignores the text after it. Loopback addresses stay allowed.

Elsewhere: the addresses of other routers come from the routers' own records and are parsed at each use; they are unchanged.

--- a/include/bergamotpaddle/Forwarding/Endpoint.h
+++ b/include/bergamotpaddle/Forwarding/Endpoint.h
@@ -18,6 +18,11 @@
 absl::StatusOr<boost::asio::ip::tcp::endpoint>
 ParseEndpoint(const std::string& aText);
 
+/// Like ParseEndpoint, but also rejects endpoints to which no connection can be
+/// opened: port 0, and addresses that are unspecified, multicast or broadcast.
+absl::StatusOr<boost::asio::ip::tcp::endpoint>
+ParseRemoteEndpoint(const std::string& aText);
+
 /// Opens \p aAcceptor on \p aAddress, an "IP:PORT"; port 0 selects a free port.
 /// Returns `Unavailable` if the address cannot be bound.
 absl::Status
--- a/lib/Forwarding/Endpoint.cpp
+++ b/lib/Forwarding/Endpoint.cpp
@@ -25,14 +25,34 @@
       Cat("'", aText, "' is not of the form IP:PORT"));
   }
   boost::system::error_code error;
-  const auto ip = boost::asio::ip::make_address(aText.substr(0, colon), error);
-  if (error) {
+  const std::string ipText = aText.substr(0, colon);
+  const auto ip = boost::asio::ip::make_address(ipText, error);
+  // make_address() ignores what follows a null character.
+  if (error || ipText.find('\0') != std::string::npos) {
     return absl::InvalidArgumentError(
       Cat("'", aText, "' does not start with a valid IP address"));
   }
   return boost::asio::ip::tcp::endpoint(ip, *port);
 }
 
+absl::StatusOr<boost::asio::ip::tcp::endpoint>
+ParseRemoteEndpoint(const std::string& aText)
+{
+  auto endpoint = ParseEndpoint(aText);
+  if (!endpoint.ok()) {
+    return endpoint;
+  }
+  const boost::asio::ip::address ip = endpoint->address();
+  const bool isBroadcast =
+    ip.is_v4() && ip.to_v4() == boost::asio::ip::address_v4::broadcast();
+  if (endpoint->port() == 0 || ip.is_unspecified() || ip.is_multicast() ||
+      isBroadcast) {
+    return absl::InvalidArgumentError(
+      Cat("'", aText, "' does not accept connections"));
+  }
+  return endpoint;
+}
+
 absl::Status
 ListenOn(boost::asio::ip::tcp::acceptor& aAcceptor, const std::string& aAddress)
 {
--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -4,6 +4,8 @@
 #include "platform/Documents.h"
 #include "platform/Settings.h"
 
+#include "bergamotpaddle/Support/Text.h"
+
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <fstream>
@@ -224,6 +226,34 @@
     CHECK(ReadUpstreamEntry("i-1", with("coldLeftMs", "1.5"))->m_warmupTime ==
           std::chrono::microseconds(1500));
   }
+
+  // Regression: such an upstream was chosen although no connection to it is
+  // possible.
+  SECTION("with an address that accepts no connection is rejected")
+  {
+    for (const char* address : { "",
+                                 "10.0.0.9",
+                                 "10.0.0.9:",
+                                 ":80",
+                                 "10.0.0.9:0",
+                                 "10.0.0.9:65536",
+                                 "10.0.0.9:99999",
+                                 "10.0.0.9:-1",
+                                 "10.0.0.9:http",
+                                 "10.0.0.256:80",
+                                 "10.0.0.9\\u0000.1:80",
+                                 "desk.example:80",
+                                 "0.0.0.0:80",
+                                 "224.0.0.1:80",
+                                 "255.255.255.255:80",
+                                 ":::80",
+                                 "ff02::1:80" }) {
+      CAPTURE(address);
+      CHECK_FALSE(
+        ReadUpstreamEntry("i-1", with("addr", Cat("\"", address, "\""))).ok());
+    }
+    CHECK(ReadUpstreamEntry("i-1", with("addr", R"("10.0.0.9:65535")")).ok());
+  }
 }
 
 TEST_CASE("the settings file", "[documents]")
