--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -15,6 +15,22 @@
 using namespace bergamotpaddle;
 using namespace bergamotpaddle::platform;
 
+namespace {
+
+constexpr std::size_t kDeepNesting = 100'000;
+
+std::string
+DeepObject()
+{
+  std::string text;
+  for (std::size_t i = 0; i < kDeepNesting; ++i) {
+    text += R"({"a":)";
+  }
+  return text + "1" + std::string(kDeepNesting, '}');
+}
+
+} // namespace
+
 TEST_CASE("the operator's configuration", "[documents]")
 {
   const std::string text = R"({"version":7,"routes":[
@@ -59,6 +75,50 @@
       ReadConfiguration(R"({"version":1,"routes":[{}],"services":[]})").ok());
   }
 
+  // Regression: copying the account list exhausted the stack.
+  SECTION("that is deeply nested does not exhaust the stack")
+  {
+    const std::string deepArray =
+      std::string(kDeepNesting, '[') + std::string(kDeepNesting, ']');
+    for (const std::string& deep : { deepArray, DeepObject() }) {
+      for (const std::string& name : { std::string("version"),
+                                       std::string("routes"),
+                                       std::string("services"),
+                                       std::string("tenants"),
+                                       std::string("limits"),
+                                       std::string("later") }) {
+        const std::string odd =
+          Cat(R"({"version":1,"routes":[],"services":[],")",
+              name,
+              "\":",
+              deep,
+              "}");
+        CAPTURE(name);
+        // Values that aren't used may have any form.
+        const bool isUsed = name != "later" && name != "limits";
+        if (isUsed) {
+          CHECK_FALSE(ReadConfiguration(odd).ok());
+          CHECK_FALSE(ConfigurationReader().Read(odd).ok());
+        } else {
+          CHECK(ReadConfiguration(odd).ok());
+          CHECK(ConfigurationReader().Read(odd).ok());
+        }
+      }
+      for (const std::string& name :
+           { std::string("apiKeys"), std::string("name") }) {
+        CHECK_FALSE(
+          ReadConfiguration(
+            Cat(R"({"version":1,"routes":[],"services":[],"tenants":[{")",
+                R"("name":"cafe",")",
+                name,
+                "\":",
+                deep,
+                "}]}"))
+            .ok());
+      }
+    }
+  }
+
   // Regression: such a version was accepted with an arbitrary number instead.
   SECTION("with a number that its field cannot hold is rejected")
   {
