PlatformWatch: stop using an upstream whose entry became unreadable

Callers saw: nothing certain. A router went on sending requests to an upstream by an entry that was no longer in the store, for as long as the unreadable one stayed there. A router that started later did not know it.

Cause: ApplyUpstream logged an unreadable entry and returned, so that the earlier reading of the same id stayed in force.

The fix: the upstream gets no new requests, as one that drains. Its state is kept, so that requests in flight stay counted and a readable entry puts it back in use at once. The removal of the entry forgets it as before.

Decision: another writer can thereby take an upstream out of use until that upstream writes again, which it does at each heartbeat. The alternative leaves requests going to an upstream that may be gone or draining, of which the store no longer says anything, and routers with different lists.

--- a/unittests/Platform/PlatformWatchTest.cpp
+++ b/unittests/Platform/PlatformWatchTest.cpp
@@ -189,6 +189,40 @@
     }));
   }
 
+  // Regression: the earlier entry stayed in force, and a router that started
+  // later did not know it.
+  SECTION("sends no new requests to an upstream with an unreadable entry")
+  {
+    const UpstreamId unreadableId("u1");
+    const auto isUsable = [&] {
+      const auto usable = state.m_upstreams.Usable(ServiceId("desk"));
+      return std::any_of(
+        usable.begin(), usable.end(), [&](const UpstreamState* aState) {
+          return aState->m_entry.m_id == unreadableId;
+        });
+    };
+    REQUIRE(isUsable());
+    state.m_upstreams.NoteSent(unreadableId, true, Duration(0), {}, Instant{});
+    store.Put("servers/u1", "not JSON");
+    CHECK(runUntil(kMaxChangeDelay, [&] { return !isUsable(); }));
+    CHECK(state.m_upstreams.Usable(ServiceId("desk")).size() == 1);
+
+    SECTION("until it is readable again, with the requests in flight counted")
+    {
+      store.PutUpstream("u1", "ready");
+      REQUIRE(runUntil(kMaxChangeDelay, isUsable));
+      CHECK(state.m_upstreams.Find(unreadableId)->m_requests == 1);
+    }
+
+    SECTION("and forgets the upstream when the entry is removed")
+    {
+      store.Remove("servers/u1");
+      CHECK(runUntil(kMaxChangeDelay, [&] {
+        return state.m_upstreams.Find(unreadableId) == nullptr;
+      }));
+    }
+  }
+
   SECTION("loses contact with the store for a while")
   {
     const UpstreamId missingId("u1");
