StoreClient: keep the other items of a page with an invalid value

Callers saw: nothing certain; the store encodes what other writers put there. If one value in a page was not base64 text, the list or watch failed as a whole and was repeated without end: the router followed no change any more.

Cause: ReadItems built all items in one try block, and ReadItem threw.

Evidence: before the fix, for a value of "!" between two valid ones, REQUIRE( aItems.ok() ) with expansion: false

The fix: in a page, an invalid value is read as empty. The reader of the item rejects it with a log line and the other items are applied. The item keeps its key and revision, so that it isn't taken for a removed one. A call for a single item, and the items of a rejected write, fail as before.

Elsewhere: a page with an item that has no key is still rejected as a whole, since a list without it would count as the item's removal. CreditLoop rejects an empty record as unreadable and never overwrites it, as before (by reading). Items from other routers are raw bytes; one that cannot be restored fails its feed, after which a full copy is requested.

--- a/unittests/Platform/StoreClientTest.cpp
+++ b/unittests/Platform/StoreClientTest.cpp
@@ -151,6 +151,44 @@
     CHECK(absl::IsUnavailable(Await(io, client.Get("k")).status()));
   }
 
+  // Regression: one such item failed its whole page, and with it each later
+  // attempt to list or to watch.
+  SECTION("reads an item with an invalid value as empty and keeps the others")
+  {
+    constexpr std::size_t kDeepNesting = 100'000;
+    const std::string deep =
+      std::string(kDeepNesting, '[') + std::string(kDeepNesting, ']');
+    for (const std::string& value : { std::string(R"("!")"),
+                                      std::string("7"),
+                                      std::string("1e300"),
+                                      std::string("null"),
+                                      deep }) {
+      const std::string items = R"([{"key":"s/1","value":"YQ==","rev":3},)"
+                                R"({"key":"s/2","rev":4,"value":)" +
+                                value +
+                                R"(},{"key":"s/3","value":"Yg==","rev":5}])";
+      const auto check = [](const absl::StatusOr<StoreItems>& aItems) {
+        REQUIRE(aItems.ok());
+        REQUIRE(aItems->m_items.size() == 3);
+        CHECK(aItems->m_items[0].m_value == "a");
+        CHECK(aItems->m_items[1].m_key == "s/2");
+        CHECK(aItems->m_items[1].m_revision == 4);
+        CHECK(aItems->m_items[1].m_value.empty());
+        CHECK(aItems->m_items[2].m_value == "b");
+      };
+      nextReply.m_body = R"({"items":)" + items + R"(,"currentRev":9})";
+      check(Await(io, client.List("s/")));
+      nextReply.m_body = R"({"events":)" + items + R"(,"currentRev":9})";
+      check(Await(io, client.Watch("s/", 2, std::chrono::milliseconds(100))));
+    }
+
+    SECTION("but reports it if it is the only item requested")
+    {
+      nextReply.m_body = R"({"key":"k","rev":4,"value":"!"})";
+      CHECK(absl::IsUnavailable(Await(io, client.Get("k")).status()));
+    }
+  }
+
   // Regression: a call that was nearly complete timed out and was repeated.
   SECTION("reads a response to its end while its bytes arrive slowly")
   {
