StoreClient: reject a revision that is not a whole number

Callers saw: nothing known. A response with the revision 1e300 or -1 was accepted; a revision too large makes a router ignore all later changes and announce it to the others.

Cause: nlohmann's get<std::uint64_t>() and value() convert any number, without a range check; the result for 1e300 is undefined.

Evidence: before the fix, for 1e300, -1, 1.5 and 2^64 each, CHECK( absl::IsUnavailable(Await(io, client.List("k")).status()) ) with expansion: false likewise for "currentRev", for Get and for CompareAndSwap.

The same section shows that an item, a list or a whole response that is nested 100,000 levels deep is invalid too and does not end the process.

Elsewhere: the state of the replica that peers exchange is typed MessagePack, which checks the range.

--- a/unittests/Platform/StoreClientTest.cpp
+++ b/unittests/Platform/StoreClientTest.cpp
@@ -189,6 +189,39 @@
     }
   }
 
+  // Regression: such a revision was accepted with an arbitrary number instead.
+  SECTION("reports a page with an invalid revision or form as unavailable")
+  {
+    constexpr std::size_t kDeepNesting = 100'000;
+    const std::string deep =
+      std::string(kDeepNesting, '[') + std::string(kDeepNesting, ']');
+    for (const std::string& value : { std::string("1e300"),
+                                      std::string("-1"),
+                                      std::string("1.5"),
+                                      std::string("18446744073709551616"),
+                                      std::string("true"),
+                                      std::string(R"("4")"),
+                                      deep }) {
+      CAPTURE(value.substr(0, 32));
+      nextReply.m_body = R"({"items":[{"key":"k","value":"","rev":)" + value +
+                         R"(}],"currentRev":9})";
+      CHECK(absl::IsUnavailable(Await(io, client.List("k")).status()));
+      nextReply.m_body = R"({"items":[],"currentRev":)" + value + "}";
+      CHECK(absl::IsUnavailable(Await(io, client.List("k")).status()));
+      nextReply.m_body = R"({"key":"k","value":"","rev":)" + value + "}";
+      CHECK(absl::IsUnavailable(Await(io, client.Get("k")).status()));
+      nextReply.m_body = R"({"rev":)" + value + "}";
+      CHECK(absl::IsUnavailable(
+        Await(io, client.CompareAndSwap("k", 6, "v")).status()));
+    }
+    nextReply.m_body = R"({"items":[)" + deep + R"(],"currentRev":9})";
+    CHECK(absl::IsUnavailable(Await(io, client.List("k")).status()));
+    nextReply.m_body = R"({"items":)" + deep + R"(,"currentRev":9})";
+    CHECK(absl::IsUnavailable(Await(io, client.List("k")).status()));
+    nextReply.m_body = deep;
+    CHECK(absl::IsUnavailable(Await(io, client.List("k")).status()));
+  }
+
   // Regression: a call that was nearly complete timed out and was repeated.
   SECTION("reads a response to its end while its bytes arrive slowly")
   {
