--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -245,6 +245,18 @@
     }
   }
 
+  // Regression: the id was written into the head of each request as it was.
+  SECTION("with an id that a header field cannot hold is rejected")
+  {
+    using namespace std::string_literals;
+    for (const std::string& id :
+         { ""s, "i 1"s, "i\r\nX: y"s, "i\n"s, "i\0"s, "\x7F"s, "\xC3\xA4"s }) {
+      CAPTURE(id);
+      CHECK_FALSE(ReadUpstreamEntry(id, text).ok());
+    }
+    CHECK(ReadUpstreamEntry("i-1:a/b_2", text).ok());
+  }
+
   const auto with = [&text](const std::string& aName,
                             const std::string& aValue) {
     // The last of several equal names counts.
