Tests: odd upstream entries do not stop a router

Entries nested 100,000 levels deep, cut short, with bytes that aren't text, a number of 1e999 or 200 kB in one field: a router applies the entries before and after them, also if they are in the list when it starts, and passes the feed on to another router.

--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -326,6 +326,28 @@
     }
     CHECK(ReadUpstreamEntry("i-1", with("addr", R"("10.0.0.9:65535")")).ok());
   }
+
+  SECTION("that is deeply nested is rejected without exhausting the stack")
+  {
+    const std::string open(kDeepNesting, '[');
+    const std::string close(kDeepNesting, ']');
+    CHECK_FALSE(ReadUpstreamEntry("i-1", open + close).ok());
+    CHECK_FALSE(ReadUpstreamEntry("i-1", open).ok());
+    CHECK_FALSE(ReadUpstreamEntry("i-1", DeepObject()).ok());
+    for (const char* name : { "service",
+                              "addr",
+                              "zone",
+                              "slots",
+                              "state",
+                              "born",
+                              "coldLeftMs" }) {
+      CHECK_FALSE(ReadUpstreamEntry("i-1", with(name, open + close)).ok());
+      CHECK_FALSE(ReadUpstreamEntry("i-1", with(name, DeepObject())).ok());
+    }
+    // A field that isn't used does not affect the others.
+    CHECK(ReadUpstreamEntry("i-1", with("later", open + close)).ok());
+    CHECK(ReadUpstreamEntry("i-1", with("later", DeepObject())).ok());
+  }
 }
 
 TEST_CASE("the settings file", "[documents]")
--- a/unittests/Platform/PlatformWatchTest.cpp
+++ b/unittests/Platform/PlatformWatchTest.cpp
@@ -139,6 +139,30 @@
   std::vector<Change> m_history;
 };
 
+/// Writes entries that do not describe an upstream.
+void
+PutOddEntries(FakeStore& aStore)
+{
+  constexpr std::size_t kDeepNesting = 100'000;
+  const std::string open(kDeepNesting, '[');
+  const std::string close(kDeepNesting, ']');
+  const std::string fields = R"({"service":"desk","zone":"z","state":"ready",)";
+  int odd = 0;
+  for (const std::string& value :
+       { open + close,
+         open,
+         fields + R"("addr":"127.0.0.1:1","slots":)" + open + close + "}",
+         fields + R"("addr":)" + open + close + R"(,"slots":4})",
+         fields + R"("addr":"127.0.0.1:1","slots":1e999})",
+         std::string("\xFF\x00\x80", 3),
+         std::string(),
+         R"({"service":"desk","addr":"127.0.0.1:1","zone":"z","slots":4,)"
+         R"("state":")" +
+           std::string(200'000, 'x') + R"("})" }) {
+    aStore.Put("servers/odd" + std::to_string(odd++), value);
+  }
+}
+
 } // namespace
 
 TEST_CASE("a router that watches the platform's store", "[watch]")
@@ -223,6 +247,52 @@
     }
   }
 
+  SECTION("ignores entries of another writer and applies the others")
+  {
+    PutOddEntries(store);
+    store.PutUpstream("u3", "ready");
+    CHECK(
+      runUntil(kMaxChangeDelay, [&] { return state.m_upstreams.Size() == 3; }));
+    store.PutUpstream("u4", "ready");
+    CHECK(
+      runUntil(kMaxChangeDelay, [&] { return state.m_upstreams.Size() == 4; }));
+
+    SECTION("also if they are listed when the router starts")
+    {
+      GatewayState startedState(MakeDialect(),
+                                {},
+                                { "host", HolderId("host/2"), "127.0.0.1:2" },
+                                {},
+                                log);
+      StoreConfirmations startedConfirmations(startedState);
+      PlatformWatch startedWatch(
+        io, startedState, client, startedConfirmations);
+      startedWatch.Start([] { return true; });
+      CHECK(runUntil(kMaxChangeDelay,
+                     [&] { return startedState.m_upstreams.Size() == 4; }));
+    }
+
+    SECTION("also if a peer passes them on")
+    {
+      GatewayState peerState(MakeDialect(),
+                             {},
+                             { "host", HolderId("host/2"), "127.0.0.1:2" },
+                             {},
+                             log);
+      StoreConfirmations peerConfirmations(peerState);
+      PlatformWatch peerWatch(io, peerState, client, peerConfirmations);
+      const auto request =
+        FeedRequest::Decode(peerWatch.Request(Duration(0)).Encode());
+      REQUIRE(request.ok());
+      const auto response =
+        FeedResponse::Decode(watch.ResponseTo(*request).Encode());
+      REQUIRE(response.ok());
+      CHECK(peerWatch.ApplyResponse(*response).ok());
+      CHECK(peerState.m_upstreams.Size() == 4);
+      CHECK(peerState.m_routes->Version() == 1);
+    }
+  }
+
   SECTION("loses contact with the store for a while")
   {
     const UpstreamId missingId("u1");
