--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -4,6 +4,8 @@
 #include "platform/Documents.h"
 #include "platform/Settings.h"
 
+#include "bergamotpaddle/Support/Text.h"
+
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <fstream>
@@ -13,6 +15,22 @@
 using namespace bergamotpaddle;
 using namespace bergamotpaddle::platform;
 
+namespace {
+
+constexpr std::size_t kDeepNesting = 100'000;
+
+std::string
+DeepObject()
+{
+  std::string text;
+  for (std::size_t i = 0; i < kDeepNesting; ++i) {
+    text += R"({"a":)";
+  }
+  return text + "1" + std::string(kDeepNesting, '}');
+}
+
+} // namespace
+
 TEST_CASE("the operator's configuration", "[documents]")
 {
   const std::string text = R"({"version":7,"routes":[
@@ -56,6 +74,89 @@
     CHECK_FALSE(
       ReadConfiguration(R"({"version":1,"routes":[{}],"services":[]})").ok());
   }
+
+  // Regression: copying the account list exhausted the stack.
+  SECTION("that is deeply nested does not exhaust the stack")
+  {
+    const std::string deepArray =
+      std::string(kDeepNesting, '[') + std::string(kDeepNesting, ']');
+    for (const std::string& deep : { deepArray, DeepObject() }) {
+      for (const std::string& name : { std::string("version"),
+                                       std::string("routes"),
+                                       std::string("services"),
+                                       std::string("tenants"),
+                                       std::string("limits"),
+                                       std::string("later") }) {
+        const std::string odd =
+          Cat(R"({"version":1,"routes":[],"services":[],")",
+              name,
+              "\":",
+              deep,
+              "}");
+        CAPTURE(name);
+        // Values that aren't used may have any form.
+        const bool isUsed = name != "later" && name != "limits";
+        if (isUsed) {
+          CHECK_FALSE(ReadConfiguration(odd).ok());
+          CHECK_FALSE(ConfigurationReader().Read(odd).ok());
+        } else {
+          CHECK(ReadConfiguration(odd).ok());
+          CHECK(ConfigurationReader().Read(odd).ok());
+        }
+      }
+      for (const std::string& name :
+           { std::string("apiKeys"), std::string("name") }) {
+        CHECK_FALSE(
+          ReadConfiguration(
+            Cat(R"({"version":1,"routes":[],"services":[],"tenants":[{")",
+                R"("name":"cafe",")",
+                name,
+                "\":",
+                deep,
+                "}]}"))
+            .ok());
+      }
+    }
+  }
+
+  // Regression: such a version was accepted with an arbitrary number instead.
+  SECTION("with a number that its field cannot hold is rejected")
+  {
+    const auto replace = [&text](const std::string& aFrom,
+                                 const std::string& aTo) {
+      std::string changed = text;
+      const std::size_t at = changed.find(aFrom);
+      REQUIRE(at != std::string::npos);
+      return changed.replace(at, aFrom.size(), aTo);
+    };
+    for (const char* field : { "version\":7",
+                               "timeoutMs\":5000",
+                               "sloMs\":300",
+                               "gapAimMs\":200",
+                               "priority\":1",
+                               "attempts\":2",
+                               "maxConns\":230",
+                               "slots\":32",
+                               "stride\":4",
+                               "kvCapacity\":453136",
+                               "maxHeaderBytes\":16384",
+                               "maxBodyBytes\":100",
+                               "headerTimeoutMs\":3000",
+                               "idleTimeoutMs\":15000",
+                               "prepaid\":6729959" }) {
+      const std::string number(field);
+      const std::string name = number.substr(0, number.find(':') + 1);
+      for (const char* value : { "1e300", "-1e300", "18446744073709551616" }) {
+        CAPTURE(field, value);
+        const std::string odd = replace(number, name + value);
+        CHECK_FALSE(ReadConfiguration(odd).ok());
+        CHECK_FALSE(ConfigurationReader().Read(odd).ok());
+      }
+    }
+    CHECK_FALSE(ReadConfiguration(replace("version\":7", "version\":-1")).ok());
+    CHECK_FALSE(
+      ReadConfiguration(replace("prepaid\":6729959", "prepaid\":-1")).ok());
+  }
 }
 
 TEST_CASE("successive versions of the configuration", "[documents][fuzz]")
@@ -143,6 +244,110 @@
       CHECK_FALSE(ReadUpstreamEntry("i-1", garbage).ok());
     }
   }
+
+  // Regression: the id was written into the head of each request as it was.
+  SECTION("with an id that a header field cannot hold is rejected")
+  {
+    using namespace std::string_literals;
+    for (const std::string& id :
+         { ""s, "i 1"s, "i\r\nX: y"s, "i\n"s, "i\0"s, "\x7F"s, "\xC3\xA4"s }) {
+      CAPTURE(id);
+      CHECK_FALSE(ReadUpstreamEntry(id, text).ok());
+    }
+    CHECK(ReadUpstreamEntry("i-1:a/b_2", text).ok());
+  }
+
+  const auto with = [&text](const std::string& aName,
+                            const std::string& aValue) {
+    // The last of several equal names counts.
+    return text.substr(0, text.size() - 1) + ",\"" + aName + "\":" + aValue +
+           "}";
+  };
+
+  // Regression: such an entry was accepted with an arbitrary number instead.
+  SECTION("with a number that its field cannot hold is rejected")
+  {
+    for (const char* value : { "1e300",
+                               "-1e300",
+                               "-1",
+                               "4294967297",
+                               "9223372036854775808",
+                               "18446744073709551616",
+                               "true",
+                               "\"6\"",
+                               "null",
+                               "[6]" }) {
+      CAPTURE(value);
+      CHECK_FALSE(ReadUpstreamEntry("i-1", with("slots", value)).ok());
+      if (value != std::string("4294967297")) {
+        CHECK_FALSE(ReadUpstreamEntry("i-1", with("born", value)).ok());
+        CHECK_FALSE(ReadUpstreamEntry("i-1", with("coldLeftMs", value)).ok());
+      }
+    }
+    CHECK_FALSE(ReadUpstreamEntry("i-1", with("slots", "0")).ok());
+    CHECK_FALSE(ReadUpstreamEntry("i-1", with("slots", "1.5")).ok());
+    CHECK_FALSE(ReadUpstreamEntry("i-1", with("born", "1.5")).ok());
+    CHECK_FALSE(ReadUpstreamEntry("i-1", with("slots", "1e999")).ok());
+  }
+
+  SECTION("with numbers in another notation is parsed")
+  {
+    CHECK(ReadUpstreamEntry("i-1", with("slots", "6.0"))->m_slots == 6);
+    CHECK(ReadUpstreamEntry("i-1", with("born", "1.7e12"))->m_startedAtMs ==
+          1700000000000);
+    CHECK(ReadUpstreamEntry("i-1", with("coldLeftMs", "1.5"))->m_warmupTime ==
+          std::chrono::microseconds(1500));
+  }
+
+  // Regression: such an upstream was chosen although no connection to it is
+  // possible.
+  SECTION("with an address that accepts no connection is rejected")
+  {
+    for (const char* address : { "",
+                                 "10.0.0.9",
+                                 "10.0.0.9:",
+                                 ":80",
+                                 "10.0.0.9:0",
+                                 "10.0.0.9:65536",
+                                 "10.0.0.9:99999",
+                                 "10.0.0.9:-1",
+                                 "10.0.0.9:http",
+                                 "10.0.0.256:80",
+                                 "10.0.0.9\\u0000.1:80",
+                                 "desk.example:80",
+                                 "0.0.0.0:80",
+                                 "224.0.0.1:80",
+                                 "255.255.255.255:80",
+                                 ":::80",
+                                 "ff02::1:80" }) {
+      CAPTURE(address);
+      CHECK_FALSE(
+        ReadUpstreamEntry("i-1", with("addr", Cat("\"", address, "\""))).ok());
+    }
+    CHECK(ReadUpstreamEntry("i-1", with("addr", R"("10.0.0.9:65535")")).ok());
+  }
+
+  SECTION("that is deeply nested is rejected without exhausting the stack")
+  {
+    const std::string open(kDeepNesting, '[');
+    const std::string close(kDeepNesting, ']');
+    CHECK_FALSE(ReadUpstreamEntry("i-1", open + close).ok());
+    CHECK_FALSE(ReadUpstreamEntry("i-1", open).ok());
+    CHECK_FALSE(ReadUpstreamEntry("i-1", DeepObject()).ok());
+    for (const char* name : { "service",
+                              "addr",
+                              "zone",
+                              "slots",
+                              "state",
+                              "born",
+                              "coldLeftMs" }) {
+      CHECK_FALSE(ReadUpstreamEntry("i-1", with(name, open + close)).ok());
+      CHECK_FALSE(ReadUpstreamEntry("i-1", with(name, DeepObject())).ok());
+    }
+    // A field that isn't used does not affect the others.
+    CHECK(ReadUpstreamEntry("i-1", with("later", open + close)).ok());
+    CHECK(ReadUpstreamEntry("i-1", with("later", DeepObject())).ok());
+  }
 }
 
 TEST_CASE("the settings file", "[documents]")
--- a/unittests/Platform/PlatformWatchTest.cpp
+++ b/unittests/Platform/PlatformWatchTest.cpp
@@ -139,6 +139,30 @@
   std::vector<Change> m_history;
 };
 
+/// Writes entries that do not describe an upstream.
+void
+PutOddEntries(FakeStore& aStore)
+{
+  constexpr std::size_t kDeepNesting = 100'000;
+  const std::string open(kDeepNesting, '[');
+  const std::string close(kDeepNesting, ']');
+  const std::string fields = R"({"service":"desk","zone":"z","state":"ready",)";
+  int odd = 0;
+  for (const std::string& value :
+       { open + close,
+         open,
+         fields + R"("addr":"127.0.0.1:1","slots":)" + open + close + "}",
+         fields + R"("addr":)" + open + close + R"(,"slots":4})",
+         fields + R"("addr":"127.0.0.1:1","slots":1e999})",
+         std::string("\xFF\x00\x80", 3),
+         std::string(),
+         R"({"service":"desk","addr":"127.0.0.1:1","zone":"z","slots":4,)"
+         R"("state":")" +
+           std::string(200'000, 'x') + R"("})" }) {
+    aStore.Put("servers/odd" + std::to_string(odd++), value);
+  }
+}
+
 } // namespace
 
 TEST_CASE("a router that watches the platform's store", "[watch]")
@@ -189,6 +213,86 @@
     }));
   }
 
+  // Regression: the earlier entry stayed in force, and a router that started
+  // later did not know it.
+  SECTION("sends no new requests to an upstream with an unreadable entry")
+  {
+    const UpstreamId unreadableId("u1");
+    const auto isUsable = [&] {
+      const auto usable = state.m_upstreams.Usable(ServiceId("desk"));
+      return std::any_of(
+        usable.begin(), usable.end(), [&](const UpstreamState* aState) {
+          return aState->m_entry.m_id == unreadableId;
+        });
+    };
+    REQUIRE(isUsable());
+    state.m_upstreams.NoteSent(unreadableId, true, Duration(0), {}, Instant{});
+    store.Put("servers/u1", "not JSON");
+    CHECK(runUntil(kMaxChangeDelay, [&] { return !isUsable(); }));
+    CHECK(state.m_upstreams.Usable(ServiceId("desk")).size() == 1);
+
+    SECTION("until it is readable again, with the requests in flight counted")
+    {
+      store.PutUpstream("u1", "ready");
+      REQUIRE(runUntil(kMaxChangeDelay, isUsable));
+      CHECK(state.m_upstreams.Find(unreadableId)->m_requests == 1);
+    }
+
+    SECTION("and forgets the upstream when the entry is removed")
+    {
+      store.Remove("servers/u1");
+      CHECK(runUntil(kMaxChangeDelay, [&] {
+        return state.m_upstreams.Find(unreadableId) == nullptr;
+      }));
+    }
+  }
+
+  SECTION("ignores entries of another writer and applies the others")
+  {
+    PutOddEntries(store);
+    store.PutUpstream("u3", "ready");
+    CHECK(
+      runUntil(kMaxChangeDelay, [&] { return state.m_upstreams.Size() == 3; }));
+    store.PutUpstream("u4", "ready");
+    CHECK(
+      runUntil(kMaxChangeDelay, [&] { return state.m_upstreams.Size() == 4; }));
+
+    SECTION("also if they are listed when the router starts")
+    {
+      GatewayState startedState(MakeDialect(),
+                                {},
+                                { "host", HolderId("host/2"), "127.0.0.1:2" },
+                                {},
+                                log);
+      StoreConfirmations startedConfirmations(startedState);
+      PlatformWatch startedWatch(
+        io, startedState, client, startedConfirmations);
+      startedWatch.Start([] { return true; });
+      CHECK(runUntil(kMaxChangeDelay,
+                     [&] { return startedState.m_upstreams.Size() == 4; }));
+    }
+
+    SECTION("also if a peer passes them on")
+    {
+      GatewayState peerState(MakeDialect(),
+                             {},
+                             { "host", HolderId("host/2"), "127.0.0.1:2" },
+                             {},
+                             log);
+      StoreConfirmations peerConfirmations(peerState);
+      PlatformWatch peerWatch(io, peerState, client, peerConfirmations);
+      const auto request =
+        FeedRequest::Decode(peerWatch.Request(Duration(0)).Encode());
+      REQUIRE(request.ok());
+      const auto response =
+        FeedResponse::Decode(watch.ResponseTo(*request).Encode());
+      REQUIRE(response.ok());
+      CHECK(peerWatch.ApplyResponse(*response).ok());
+      CHECK(peerState.m_upstreams.Size() == 4);
+      CHECK(peerState.m_routes->Version() == 1);
+    }
+  }
+
   SECTION("loses contact with the store for a while")
   {
     const UpstreamId missingId("u1");
