Forwarding: believe a refusal only if it is for this attempt

What callers saw: "not run, try again" (503) for a call that an upstream had run or was running, or a second run of it at another upstream, after an upstream had sent the refusal of an earlier attempt once more.

Cause: RequestRun::ReadResponse took every Not-Executed field and every 421 as proof before IsInvalidResponse compared the attempt's id. Of several ids the dialect kept the first. A success that carries Not-Executed counted as proof, too.

Why the fix works: proof is a refusal with the id of this attempt, or without any id, since each exchange has a connection of its own. A refusal with another id, or with different ids, leaves the outcome unknown: 502 for a call that may run once, a repeat within the limits for the others. A success with Not-Executed is neither proof nor forwarded.

Looked at elsewhere: a refusal between chunks or within a header, and a response after a refusal, were handled already (same test). lib/Upstream takes only a call that was not sent as proof; ReserveExchange, PeerLink and the relay take no refusal as proof.

--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -74,6 +74,8 @@
   Awaitable<void> FinishRequest(ExchangeResult aResult);
   Awaitable<void> RespondLocally(LocalResponse aResponse);
   std::string UpstreamHead() const;
+  /// Whether the response names an attempt, but not this one.
+  bool IsForOtherAttempt(const UpstreamResponse& aResponse) const;
   bool IsInvalidResponse(const UpstreamResponse& aResponse) const;
   void NoteExchange(ExchangeResult aResult);
   void ArmIdleTimeout(Duration aTimeout);
--- a/include/bergamotpaddle/Forwarding/WireDialect.h
+++ b/include/bergamotpaddle/Forwarding/WireDialect.h
@@ -55,9 +55,11 @@
 {
   int m_status = 0;
   std::string m_reason;
-  std::string m_attemptId;       ///< As echoed; empty if absent.
-  bool m_isSealed = false;       ///< Carries the upstream's signature.
-  bool m_isProvedNotRun = false; ///< The request certainly did not run.
+  /// As echoed; empty if absent, a list if there are different ids.
+  std::string m_attemptId;
+  bool m_isSealed = false; ///< Carries the upstream's signature.
+  /// States that the request of m_attemptId did not run.
+  bool m_isProvedNotRun = false;
   /// Has a content coding, so it is not the body that the upstream made.
   bool m_isEncoded = false;
   bool m_isEventStream = false;
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -210,14 +210,19 @@
   return head;
 }
 
+bool
+RequestRun::IsForOtherAttempt(const UpstreamResponse& aResponse) const
+{
+  return !aResponse.m_attemptId.empty() &&
+         aResponse.m_attemptId != m_request.m_attemptId;
+}
+
 bool
 RequestRun::IsInvalidResponse(const UpstreamResponse& aResponse) const
 {
-  const bool isForOtherAttempt = !aResponse.m_attemptId.empty() &&
-                                 aResponse.m_attemptId != m_request.m_attemptId;
-  const bool isUnsigned =
-    IsSuccess(aResponse.m_status) && !aResponse.m_isSealed;
-  return isForOtherAttempt || isUnsigned || aResponse.m_isEncoded;
+  const bool isUnsigned = IsSuccess(aResponse.m_status) &&
+                          (!aResponse.m_isSealed || aResponse.m_isProvedNotRun);
+  return IsForOtherAttempt(aResponse) || isUnsigned || aResponse.m_isEncoded;
 }
 
 RequestRun::Awaitable<RequestRun::ExchangeResult>
@@ -236,7 +241,8 @@
     m_state->m_upstreams.NoteReport(m_choice.m_upstream, *response.m_load);
     m_state->m_onLoadChanged(m_choice.m_upstream, {});
   }
-  if (response.m_isProvedNotRun) {
+  if (response.m_isProvedNotRun && !IsSuccess(response.m_status) &&
+      !IsForOtherAttempt(response)) {
     co_return ExchangeResult::kNotRun;
   }
   m_mayHaveRun = true;
