Forwarding: reset an interrupted stream to an HTTP/1.0 caller

What callers saw: an HTTP/1.0 caller took an interrupted stream for a complete one.

Cause: such a stream has no chunks and ends with its connection, and CallerConnection::Close, the destructor and the end of the process closed the connection in the same way as after a complete stream.

Evidence: before the fix, BrokenStreamTest failed in 162 of 2822 assertions, all of them BrokenStreamTest.cpp: CHECK( fixture.m_wasResetByGateway == (version == "HTTP/1.0") ) false == true that is, for HTTP/1.0 in every one of the combinations of an interruption and a failed resumption. After it, they pass.

Why the fix works: from the begin of such a stream to its regular end the socket is set to reset when it is closed, whoever closes it. The caller still receives the events that were sent (same test).

Looked at elsewhere: towards HTTP/1.1 callers the last chunk was missing in all cases. For a begun stream whose second upstream gave a 5xx, 404, 302, a plain or an unsealed 200, a header only, or a partial event, over chunks, length and close, no byte of the second response was forwarded. Plain responses always have a length.

--- a/include/bergamotpaddle/Forwarding/CallerConnection.h
+++ b/include/bergamotpaddle/Forwarding/CallerConnection.h
@@ -83,6 +83,8 @@
                          std::string_view aReason,
                          const FieldList& aFields) const;
   void FinishResponse();
+  /// Sets whether closing the connection resets it.
+  void SetResetOnClose(bool aIsReset);
   void CheckForDisconnect(std::uint64_t aWatchId);
 
   Socket m_socket;
--- a/lib/Forwarding/CallerConnection.cpp
+++ b/lib/Forwarding/CallerConnection.cpp
@@ -273,6 +273,10 @@
   if (m_isHttp10 || m_state->m_isStopping) {
     m_keepAlive = false;
   }
+  if (m_isHttp10) {
+    // A normal close would make an interrupted stream look complete.
+    SetResetOnClose(true);
+  }
   std::string bytes = FormatHead(
     aResponse.m_status, aResponse.m_reason, aResponse.m_forwardedFields);
   bytes += m_isHttp10 ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n";
@@ -298,13 +302,22 @@
 CallerConnection::Awaitable<void>
 CallerConnection::EndStream()
 {
-  if (!m_isHttp10) {
+  if (m_isHttp10) {
+    SetResetOnClose(false);
+  } else {
     std::string lastChunk(kLastChunk);
     co_await Write(std::move(lastChunk));
   }
   FinishResponse();
 }
 
+void
+CallerConnection::SetResetOnClose(bool aIsReset)
+{
+  ErrorCode ignored;
+  m_socket.set_option(asio::socket_base::linger(aIsReset, 0), ignored);
+}
+
 void
 CallerConnection::WatchForDisconnect(std::function<void()> aOnDisconnect)
 {
--- a/unittests/Platform/Loopback.h
+++ b/unittests/Platform/Loopback.h
@@ -197,6 +197,7 @@
   absl::Status m_startStatus;
   /// Whether the gateway closed the connection of the last call.
   bool m_wasClosedByGateway = false;
+  bool m_wasResetByGateway = false; ///< Whether it closed it with a TCP reset.
 
 private:
   static std::string Hex(std::size_t aNumber)
@@ -287,6 +288,7 @@
     if (error != asio::error::operation_aborted) {
       aIsDone = true;
     }
+    m_wasResetByGateway = error == asio::error::connection_reset;
   }
 };
 
