Forwarding: a response is incomplete if the connection failed while sending

What callers saw: a truncated body as a complete success, when an upstream answered before it had read a long request, with a response that ends with its connection, and then reset the connection.

Cause: the request is written while the response is read. A socket reports a reset once. If the pending write took the error, the next read saw the end of the connection, which ends such a response regularly.

Why the fix works: a failed write marks the exchange, and a response that has neither a length nor chunks is not complete on such an exchange. The write's handler runs before that of the read, as its event comes first.

Looked at elsewhere: StoreClient and the relay finish writing before they read; requests of callers always have a length or chunks.

--- a/include/bergamotpaddle/Forwarding/UpstreamExchange.h
+++ b/include/bergamotpaddle/Forwarding/UpstreamExchange.h
@@ -81,6 +81,7 @@
   std::optional<Parser> m_parser;
   AbortReason m_abortReason = AbortReason::kNone;
   bool m_isComplete = false;
+  bool m_hasSendFailed = false;
   std::string m_error;
   TrafficCount m_bytes;
 };
--- a/lib/Forwarding/UpstreamExchange.cpp
+++ b/lib/Forwarding/UpstreamExchange.cpp
@@ -74,9 +74,11 @@
     ErrorCode error;
     const std::array<asio::const_buffer, 2> buffers = { asio::buffer(aHead),
                                                         asio::buffer(*aBody) };
-    // A write error is detected when the response is read.
+    // The socket reports a reset once: if the write fails, a read only sees the
+    // end of the connection.
     aSelf->m_bytes.m_sent +=
       co_await asio::async_write(aSelf->m_socket, buffers, Into(error));
+    aSelf->m_hasSendFailed = error.failed();
   };
   asio::co_spawn(m_socket.get_executor(),
                  send(shared_from_this(), std::move(aHead), std::move(aBody)),
@@ -125,8 +127,9 @@
   m_error = error ? error.message() : std::string();
   // A response without a length is complete when the connection ends, unless
   // the connection was reset.
-  m_isComplete =
-    m_parser->is_done() && !error && m_abortReason == AbortReason::kNone;
+  m_isComplete = m_parser->is_done() && !error &&
+                 m_abortReason == AbortReason::kNone &&
+                 !(m_parser->need_eof() && m_hasSendFailed);
   co_return bytes;
 }
 
