Forwarding: a success that ends after its header is incomplete

What callers saw: an empty success, or an empty stream that looked complete, when an upstream had failed between its header and the first byte of a response that has neither a length nor chunks.

Cause: the end of the connection ended such a response as if the body were empty. The system also closes the connections of a process that crashed.

Evidence: before the fix, BrokenStreamTest failed in 4 of 24 assertions of "a response without a body or framing", for calls and streams, with and without the type of an event stream: BrokenStreamTest.cpp: CHECK( call(Framing::kClose).substr(0, 12) == "HTTP/1.1 502" ) "HTTP/1.1 200" == "HTTP/1.1 502" After it, all of PlatformTests pass. The added case of a resumption that ends cleanly after its header was run on the fixed code only.

Why the fix works: a success needs a byte of its body before the end of the connection may end it. An empty body with a length of 0 or a last chunk is forwarded as before (same test).

Looked at elsewhere: a body that was begun and then closed cleanly cannot be told from a complete one, except a stream that ends inside an event, which was handled already; a reset was handled as well (same test file). Error responses may still end after their header.

--- a/include/bergamotpaddle/Forwarding/UpstreamExchange.h
+++ b/include/bergamotpaddle/Forwarding/UpstreamExchange.h
@@ -76,12 +76,17 @@
   using Parser =
     boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+  /// Whether the response is a success of which only the header was received.
+  /// Without framing, the upstream may have failed after it sent the header.
+  bool IsBare() const;
+
   Socket m_socket;
   boost::beast::flat_buffer m_buffer;
   std::optional<Parser> m_parser;
   AbortReason m_abortReason = AbortReason::kNone;
   bool m_isComplete = false;
   bool m_hasSendFailed = false;
+  bool m_hasBody = false;
   std::string m_error;
   TrafficCount m_bytes;
 };
--- a/lib/Forwarding/UpstreamExchange.cpp
+++ b/lib/Forwarding/UpstreamExchange.cpp
@@ -127,12 +127,20 @@
   m_error = error ? error.message() : std::string();
   // A response without a length is complete when the connection ends, unless
   // the connection was reset.
+  m_hasBody = m_hasBody || !bytes.empty();
   m_isComplete = m_parser->is_done() && !error &&
                  m_abortReason == AbortReason::kNone &&
-                 !(m_parser->need_eof() && m_hasSendFailed);
+                 !(m_parser->need_eof() && (m_hasSendFailed || IsBare()));
   co_return bytes;
 }
 
+bool
+UpstreamExchange::IsBare() const
+{
+  return !m_hasBody && http::to_status_class(m_parser->get().result()) ==
+                         http::status_class::successful;
+}
+
 void
 UpstreamExchange::Abort(AbortReason aReason)
 {
--- a/unittests/Platform/BrokenStreamTest.cpp
+++ b/unittests/Platform/BrokenStreamTest.cpp
@@ -131,6 +131,8 @@
       Response("200 OK", kSeal, kErrorText, framing),
       Response("200 OK", kStreamType, kErrorText, framing),
       Response("200 OK", kSeal + kStreamType, "", framing, false),
+      Response(
+        "200 OK", kSeal + kStreamType, "", framing, framing == Framing::kClose),
       Response("200 OK", kSeal + kStreamType, kErrorText, framing),
       Response("500 Failed",
                kSeal + kStreamType,
@@ -204,3 +206,30 @@
     CHECK_FALSE(response.ends_with("0\r\n\r\n"));
   }
 }
+
+TEST_CASE("a response without a body or framing", "[forwarding][broken]")
+{
+  GatewayFixture fixture;
+  REQUIRE(fixture.m_startStatus.ok());
+  const std::string fields =
+    kSeal + GENERATE(as<std::string>{}, "", kStreamType);
+  const std::string path = GENERATE(as<std::string>{}, "/once/", "/stream/");
+  INFO(path << " " << fields);
+  const auto call = [&](Framing aFraming) {
+    const auto script = Response("200 OK", fields, "", aFraming);
+    return CallWithFailover(fixture, path, "HTTP/1.1", script, script);
+  };
+
+  // Regression: an upstream that crashed after its header left an empty
+  // response that was forwarded as a success.
+  SECTION("is not forwarded if the connection was closed")
+  {
+    CHECK(call(Framing::kClose).substr(0, 12) == "HTTP/1.1 502");
+  }
+
+  SECTION("is forwarded if its framing shows that it is empty")
+  {
+    const Framing framing = GENERATE(Framing::kChunks, Framing::kLength);
+    CHECK(call(framing).substr(0, 12) == "HTTP/1.1 200");
+  }
+}
