--- a/lib/Forwarding/UpstreamExchange.cpp
+++ b/lib/Forwarding/UpstreamExchange.cpp
@@ -90,9 +90,11 @@
     ErrorCode error;
     const std::array<asio::const_buffer, 2> buffers = { asio::buffer(aHead),
                                                         asio::buffer(*aBody) };
-    // A write error is detected when the response is read.
+    // The socket reports a reset once: if the write fails, a read only sees the
+    // end of the connection.
     aSelf->m_bytes.m_sent +=
       co_await asio::async_write(aSelf->m_socket, buffers, Into(error));
+    aSelf->m_hasSendFailed = error.failed();
   };
   asio::co_spawn(m_socket.get_executor(),
                  send(shared_from_this(), std::move(aHead), std::move(aBody)),
@@ -141,15 +143,17 @@
   m_error = error ? error.message() : std::string();
   // A response without a length is complete when the connection ends, unless
   // the connection was reset or the exchange aborted, which are read errors.
-  m_isComplete = m_parser->is_done() && !error;
+  m_hasBody = m_hasBody || !bytes.empty();
+  m_isComplete = m_parser->is_done() && !error &&
+                 !(m_parser->need_eof() && (m_hasSendFailed || IsBare()));
   co_return bytes;
 }
 
 bool
-UpstreamExchange::HasUnreadBytes() const
-{
-  ErrorCode ignored;
-  return m_socket.available(ignored) > 0;
+  // the connection was reset or the exchange aborted, which are read errors.
+  m_hasBody = m_hasBody || !bytes.empty();
+  m_isComplete = m_parser->is_done() && !error &&
+                 !(m_parser->need_eof() && (m_hasSendFailed || IsBare()));
 }
 
 void
