Quarantine prompt parts on which upstreams crash

Cause: nothing related a crash to what the requests in flight had in common; each router only avoided the upstream for 400 ms. Class of fault: a failure that travels with the request was treated as a failure of the upstream alone. Change: Gateway/PromptQuarantine, free of I/O. A connection that the upstream ends before the response begins makes the request's parts, but the last, suspect; a response that begins clears them. Reports travel in the digests, each three times, so no router needs to see all crashes. A part that stays suspect over four crashes in three incidents is refused (503, prompt_quarantined, Retry-After until the next trial) at admission and before each retry; one router tries it again after 30 s, then twice as long each time. Crashes at one instant count once, so a lost domain convicts nobody; of two parts that always come together the one that never had a response is quarantined. Why it works: PromptQuarantineTest replays fleets of 4 and 28 routers with lost datagrams, 1, 5 and 30% deadly requests, and crashes of domains, of all upstreams, in turn, and broken-off requests, in which nothing may be quarantined. Remains: a fleet whose routers all end at once forgets the quarantine.

--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -6,6 +6,7 @@
 #include "bergamotpaddle/Gateway/AdaptiveConnectTimeout.h"
 #include "bergamotpaddle/Gateway/CreditBook.h"
 #include "bergamotpaddle/Gateway/Placement.h"
+#include "bergamotpaddle/Gateway/PromptQuarantine.h"
 #include "bergamotpaddle/Gateway/RetryBudget.h"
 #include "bergamotpaddle/Gateway/StoreAvailability.h"
 #include "bergamotpaddle/Logging/EventLog.h"
@@ -44,6 +45,8 @@
   std::map<ResultCode, std::uint64_t> m_requestsByCode; ///< Requests by result.
   std::uint64_t m_retries = 0; ///< After a send that reached an upstream.
   std::uint64_t m_streamsResumed = 0;
+  /// Requests that were not sent since a part of their prompt is quarantined.
+  std::uint64_t m_quarantineRefusals = 0;
   std::uint64_t m_invalidResponses = 0; ///< Of upstreams; not forwarded.
   std::uint64_t m_events = 0;           ///< Stream events sent to callers.
   LatencyHistogram m_firstEventTime;    ///< From a request to its first event.
@@ -99,6 +102,8 @@
   Duration m_retryAfterTransient = std::chrono::milliseconds(400);
   /// `Retry-After` for lack of credit, which is drawn about once a second.
   Duration m_retryAfterDraw = std::chrono::milliseconds(1000);
+  /// Shortest `Retry-After` of a request with a quarantined prompt part.
+  Duration m_minQuarantineRetry = std::chrono::seconds(1);
   /// Resolution of all timeouts.
   Duration m_tickInterval = std::chrono::milliseconds(20);
 };
@@ -117,12 +122,15 @@
   std::int64_t UnixMs() const;
   /// Writes a line; with \p aIsVital it is kept where others are dropped.
   void Log(const LogLine& aLine, bool aIsVital = false);
+  /// Logs what changed in m_quarantine since the last call.
+  void LogQuarantineChanges();
 
   WireDialect m_dialect;
   ForwardingOptions m_options;
   std::shared_ptr<const RouteTable> m_routes; ///< Null until one is known.
   UpstreamView m_upstreams;
   Placement m_placement;
+  PromptQuarantine m_quarantine;
   CreditBook m_credit;
   RetryBudget m_retries;
   StoreAvailability m_storeAvailability;
--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -51,6 +51,13 @@
   /// The response if the local configuration rejects the request but may be
   /// outdated.
   LocalResponse StaleConfigurationResponse(const char* aProblem) const;
+  /// Returns the response if the prompt holds a quarantined part.
+  std::optional<LocalResponse> CheckPrompt();
+  /// Whether the request must not be sent since a part of its prompt was
+  /// quarantined after its admission.
+  bool IsPromptQuarantined();
+  /// Records that the response of the exchange in flight began.
+  void NoteResponseBegun();
   /// Allots credit for a prepaid request, after the next draw if necessary.
   /// Returns the response if the request is rejected.
   Awaitable<std::optional<LocalResponse>> AllotCredit();
@@ -106,7 +113,9 @@
   Duration m_creditWaitTime{ 0 };
   std::uint64_t m_eventsDelivered = 0;
   bool m_mayHaveRun = false;
-  bool m_hasResponseBegun = false; ///< In the exchange in flight.
+  bool m_isPromptTrial = false;           ///< Sent despite a quarantined part.
+  bool m_hasResponseBegun = false;        ///< In the exchange in flight.
+  std::int64_t m_upstreamStartedAtMs = 0; ///< Start of the chosen upstream.
   bool m_isCallerDisconnected = false;
   bool m_isStreamBegun = false;
   std::string m_lastEventId;
--- a/include/bergamotpaddle/Gateway/PeerDigest.h
+++ b/include/bergamotpaddle/Gateway/PeerDigest.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "bergamotpaddle/Gateway/FeedSource.h"
+#include "bergamotpaddle/Gateway/PromptQuarantine.h"
 #include "bergamotpaddle/Gateway/UpstreamView.h"
 
 #include <absl/status/statusor.h>
@@ -56,6 +57,8 @@
   /// Revisions of the last changes known to the sender, one for each feed.
   std::vector<std::uint64_t> m_feedChangedRevisions;
   std::vector<UpstreamDigest> m_upstreams;
+  /// The last field: routers of an earlier release ignore it.
+  QuarantineReport m_quarantine;
   MSGPACK_DEFINE(m_version,
                  m_senderIncarnation,
                  m_storeAgeMs,
@@ -63,7 +66,8 @@
                  m_zone,
                  m_feedAgeMs,
                  m_feedChangedRevisions,
-                 m_upstreams)
+                 m_upstreams,
+                 m_quarantine)
   auto operator<=>(const PeerDigest&) const = default;
 
   /// The sender's report on its replicas.
--- a/include/bergamotpaddle/Support/ResultCode.h
+++ b/include/bergamotpaddle/Support/ResultCode.h
@@ -38,6 +38,7 @@
   kJournalUnavailable = 3009,
   kJournalFull = 3010,
   kDeadlineExceeded = 3011,
+  kPromptQuarantined = 3012,
   kConfigConflict = 4001,
   kConfigInvalid = 4002,
   kPlatformUnavailable = 4003,
--- a/lib/Forwarding/GatewayMetrics.cpp
+++ b/lib/Forwarding/GatewayMetrics.cpp
@@ -60,6 +60,14 @@
                "counter",
                "Upstreams' answers that were not passed on.",
                counters.m_invalidResponses);
+  appendSingle("bergamotpaddle_quarantine_refusals_total",
+               "counter",
+               "Requests refused since upstreams crash on a part of them.",
+               counters.m_quarantineRefusals);
+  appendSingle("bergamotpaddle_quarantined_parts",
+               "gauge",
+               "Prompt parts on which upstreams crash.",
+               m_state->m_quarantine.Quarantined(m_state->Now()).size());
   appendSingle("bergamotpaddle_events_total",
                "counter",
                "Events of streams passed on.",
--- a/lib/Forwarding/GatewayState.cpp
+++ b/lib/Forwarding/GatewayState.cpp
@@ -1,5 +1,7 @@
 #include "bergamotpaddle/Forwarding/GatewayState.h"
 
+#include "bergamotpaddle/Support/Text.h"
+
 #include <algorithm>
 
 namespace bergamotpaddle {
@@ -62,4 +64,22 @@
   m_log->Write(aLine, Now(), UnixMs(), aIsVital);
 }
 
+void
+GatewayState::LogQuarantineChanges()
+{
+  constexpr std::array<const char*, 4> kEvents = { "prompt.quarantined",
+                                                   "prompt.quarantine_adopted",
+                                                   "prompt.trial",
+                                                   "prompt.cleared" };
+  for (const QuarantineChange& change : m_quarantine.TakeChanges()) {
+    LogLine line(kEvents.at(static_cast<std::size_t>(change.m_kind)));
+    line.Text("part", Hex(change.m_part)).Number("trials", change.m_trials);
+    if (change.m_kind == QuarantineChange::Kind::kQuarantined) {
+      line.Number("crashes", static_cast<std::int64_t>(change.m_crashes))
+        .Number("incidents", static_cast<std::int64_t>(change.m_incidents));
+    }
+    Log(line, true);
+  }
+}
+
 } // namespace bergamotpaddle
--- a/lib/Forwarding/PeerLink.cpp
+++ b/lib/Forwarding/PeerLink.cpp
@@ -188,6 +188,7 @@
   if (const auto respondedAt = m_state->m_storeAvailability.LastResponseAt()) {
     digest.m_storeAgeMs = ToMilliseconds(aNow - *respondedAt);
   }
+  digest.m_quarantine = m_state->m_quarantine.NextReport(aNow);
   std::size_t size = digest.Encode().size();
   for (const auto& [id, newParts] : m_schedule.Candidates(aNow)) {
     const UpstreamState* state = m_state->m_upstreams.Find(id);
@@ -267,6 +268,8 @@
     } else {
       peer->second = m_state->Now();
       ApplyDigest(*digest, m_state->m_upstreams, m_state->Now());
+      m_state->m_quarantine.Apply(digest->m_quarantine, m_state->Now());
+      m_state->LogQuarantineChanges();
       m_onFeedStatus(AddressOf(from), digest->ToFeedStatus());
       if (digest->m_storeAgeMs >= 0) {
         m_state->m_storeAvailability.NotePeerResponse(
--- a/lib/Forwarding/RequestAdmission.cpp
+++ b/lib/Forwarding/RequestAdmission.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+constexpr const char* kQuarantinedMessage =
+  "upstreams crash on a part of the prompt";
+
 /// Picks a service of \p aRoute by weight; the choice is deterministic for an
 /// attempt ID.
 ServiceId
@@ -107,6 +110,48 @@
   return std::nullopt;
 }
 
+std::optional<LocalResponse>
+RequestRun::CheckPrompt()
+{
+  const PromptAdmission admission =
+    m_state->m_quarantine.Admit(m_request.m_parts, m_state->Now());
+  m_state->LogQuarantineChanges();
+  m_isPromptTrial = admission.m_isTrial;
+  if (!admission.m_refusedFor) {
+    return std::nullopt;
+  }
+  ++m_state->m_counters.m_quarantineRefusals;
+  return LocalResponse{ 503,
+                        ResultCode::kPromptQuarantined,
+                        kQuarantinedMessage,
+                        std::max(*admission.m_refusedFor,
+                                 m_state->m_options.m_minQuarantineRetry) };
+}
+
+bool
+RequestRun::IsPromptQuarantined()
+{
+  if (m_isPromptTrial ||
+      !m_state->m_quarantine.RefusedFor(m_request.m_parts, m_state->Now())) {
+    return false;
+  }
+  m_state->LogQuarantineChanges();
+  ++m_state->m_counters.m_quarantineRefusals;
+  m_code = ResultCode::kPromptQuarantined;
+  m_errorMessage = kQuarantinedMessage;
+  return true;
+}
+
+void
+RequestRun::NoteResponseBegun()
+{
+  if (std::exchange(m_hasResponseBegun, true)) {
+    return;
+  }
+  m_state->m_quarantine.NoteBegun(m_request.m_parts, m_state->Now());
+  m_state->LogQuarantineChanges();
+}
+
 RequestRun::Awaitable<std::optional<LocalResponse>>
 RequestRun::AllotCredit()
 {
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -61,6 +61,9 @@
   m_target = std::move(wire.m_target);
   m_body = std::make_shared<const std::string>(std::move(wire.m_body));
   std::optional<LocalResponse> rejection = Admit();
+  if (!rejection) {
+    rejection = CheckPrompt();
+  }
   if (!rejection) {
     rejection = co_await AllotCredit();
   }
@@ -87,7 +90,7 @@
 {
   ExchangeResult exchangeResult = ExchangeResult::kNeverSent;
   do {
-    if (!ChooseUpstream()) {
+    if (IsPromptQuarantined() || !ChooseUpstream()) {
       break;
     }
     exchangeResult = co_await RunExchange();
@@ -115,6 +118,7 @@
     m_choice = result.m_choice;
     const UpstreamState* state = m_state->m_upstreams.Find(m_choice.m_upstream);
     m_upstreamAddress = state->m_entry.m_address;
+    m_upstreamStartedAtMs = state->m_entry.m_startedAtMs;
     return true;
   }
   const bool isOverloaded =
@@ -289,7 +293,9 @@
     }
   }
   m_timeToFirstByte = Elapsed();
-  m_hasResponseBegun = m_hasResponseBegun || IsSuccess(aResponse.m_status);
+  if (IsSuccess(aResponse.m_status)) {
+    NoteResponseBegun();
+  }
   if (aResponse.m_status >= kFirstServerError) {
     m_failedResponse = aResponse;
     m_failedResponseBody = std::move(body);
@@ -331,7 +337,7 @@
     }
     if (!events.empty()) {
       const Instant now = m_state->Now();
-      m_hasResponseBegun = true;
+      NoteResponseBegun();
       if (m_lastEventAt) {
         m_longestPause = std::max(m_longestPause, now - *m_lastEventAt);
       }
@@ -414,6 +420,12 @@
   const bool isCrashSuspected = aResult == ExchangeResult::kIncomplete &&
                                 m_exchange->WasBrokenOff() &&
                                 !m_hasResponseBegun;
+  if (isCrashSuspected) {
+    m_state->m_quarantine.NoteCrash(
+      PromptQuarantine::CrashId(m_choice.m_upstream, m_upstreamStartedAtMs),
+      m_request.m_parts,
+      now);
+  }
   if (health != ExchangeOutcome::kSucceeded) {
     m_state->Log(
       LogLine("exchange.failed")
@@ -480,9 +492,13 @@
     const std::string errorMessage = m_errorMessage.empty()
                                        ? "upstreams did not take the request"
                                        : m_errorMessage;
-    LocalResponse refusal{
-      503, code, errorMessage, m_state->m_options.m_retryAfterTransient
-    };
+    const ForwardingOptions& options = m_state->m_options;
+    LocalResponse refusal{ 503,
+                           code,
+                           errorMessage,
+                           code == ResultCode::kPromptQuarantined
+                             ? options.m_minQuarantineRetry
+                             : options.m_retryAfterTransient };
     co_await RespondLocally(std::move(refusal));
     co_return;
   }
--- a/lib/Support/ResultCode.cpp
+++ b/lib/Support/ResultCode.cpp
@@ -126,6 +126,12 @@
                   504,
                   1,
                   "The work did not start in time." },
+  ResultCodeInfo{ kPromptQuarantined,
+                  "prompt_quarantined",
+                  503,
+                  30,
+                  "Upstreams crash on a part of the prompt; it is tried again "
+                  "rarely." },
   ResultCodeInfo{ kConfigConflict,
                   "config_conflict",
                   409,
