--- a/include/bergamotpaddle/Forwarding/UpstreamExchange.h
+++ b/include/bergamotpaddle/Forwarding/UpstreamExchange.h
@@ -75,6 +75,9 @@
   void Abort(AbortReason aReason);
   AbortReason GetAbortReason() const { return m_abortReason; }
   void Close();
+  /// Whether the upstream ended the connection before a complete response, or
+  /// at the end of one without framing.
+  bool WasEndedByUpstream() const { return m_wasEnded; }
   /// Message of the last error; empty if there was none.
   const std::string& Error() const { return m_error; }
   /// Payload bytes sent and received.
@@ -87,6 +90,7 @@
   /// Whether the response is a success of which only the header was received.
   /// Without framing, the upstream may have failed after it sent the header.
   bool IsBare() const;
+  void NoteReadError(const boost::system::error_code& aError);
 
   Socket m_socket;
   boost::beast::flat_buffer m_buffer;
@@ -95,6 +99,7 @@
   bool m_isComplete = false;
   bool m_hasSendFailed = false;
   bool m_hasBody = false;
+  bool m_wasEnded = false;
   std::string m_error;
   TrafficCount m_bytes;
 };
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -11,6 +11,8 @@
 constexpr int kFirstServerError = 500;
 constexpr int kOkBegin = 200;
 constexpr int kOkEnd = 300;
+/// Parts of a prompt in a log line.
+constexpr std::size_t kMaxLoggedParts = 8;
 
 bool
 IsSuccess(int aStatus)
@@ -18,6 +20,17 @@
   return aStatus >= kOkBegin && aStatus < kOkEnd;
 }
 
+/// The first IDs of \p aParts as hexadecimal numbers.
+std::string
+JoinPartIds(const std::vector<PromptPart>& aParts)
+{
+  std::string text;
+  for (std::size_t i = 0; i < std::min(aParts.size(), kMaxLoggedParts); ++i) {
+    Append(text, i == 0 ? "" : ",", Hex(aParts[i].m_id));
+  }
+  return text;
+}
+
 } // namespace
 
 RequestRun::RequestRun(GatewayState& aState,
@@ -48,6 +61,9 @@
   m_target = std::move(wire.m_target);
   m_body = std::make_shared<const std::string>(std::move(wire.m_body));
   std::optional<LocalResponse> rejection = Admit();
+  if (!rejection) {
+    rejection = CheckPrompt();
+  }
   if (!rejection) {
     rejection = co_await AllotCredit();
   }
@@ -74,7 +90,7 @@
 {
   ExchangeResult exchangeResult = ExchangeResult::kNeverSent;
   do {
-    if (!ChooseUpstream()) {
+    if (IsPromptQuarantined() || !ChooseUpstream()) {
       break;
     }
     exchangeResult = co_await RunExchange();
@@ -117,6 +133,7 @@
     m_choice = result.m_choice;
     const UpstreamState* state = m_state->m_upstreams.Find(m_choice.m_upstream);
     m_upstreamAddress = state->m_entry.m_address;
+    m_upstreamStartedAtMs = state->m_entry.m_startedAtMs;
     return true;
   }
   const bool isOverloaded =
@@ -134,6 +151,7 @@
   NoteUpstreamHeard();
   m_isRequestSent = false;
   m_progress->NoteSending(m_choice.m_upstream);
+  m_hasResponseBegun = false;
   m_exchange = std::make_shared<UpstreamExchange>(m_executor);
   if (m_isCallerDisconnected) {
     co_return ExchangeResult::kCallerDisconnected;
@@ -282,6 +300,9 @@
   }
   m_idleDeadline.reset();
   m_timeToFirstByte = Elapsed();
+  if (IsSuccess(aResponse.m_status)) {
+    NoteResponseBegun();
+  }
   if (aResponse.m_status >= kFirstServerError) {
     m_failedResponse = aResponse;
     m_failedResponseBody = std::move(body);
@@ -326,6 +347,7 @@
     }
     if (!events.empty()) {
       const Instant now = m_state->Now();
+      NoteResponseBegun();
       if (m_lastEventAt) {
         m_longestPause = std::max(m_longestPause, now - *m_lastEventAt);
       }
@@ -410,6 +432,15 @@
   if (aResult != ExchangeResult::kCallerDisconnected && !isNoted) {
     m_state->m_upstreams.NoteOutcome(m_choice.m_upstream, health, now);
   }
+  const bool isCrashSuspected = aResult == ExchangeResult::kIncomplete &&
+                                m_exchange->WasEndedByUpstream() &&
+                                !m_hasResponseBegun;
+  if (isCrashSuspected) {
+    m_state->m_quarantine.NoteCrash(
+      PromptQuarantine::CrashId(m_choice.m_upstream, m_upstreamStartedAtMs),
+      m_request.m_parts,
+      now);
+  }
   if (health != ExchangeOutcome::kSucceeded) {
     LogLine line("exchange.failed");
     line.Text("request", m_request.m_attemptId)
@@ -418,6 +449,8 @@
       .Number("aborted", static_cast<int>(m_exchange->GetAbortReason()))
       .Text("why", m_errorMessage)
       .Text("error", m_exchange->Error())
+      .Flag("begun", m_hasResponseBegun)
+      .Text("parts", isCrashSuspected ? JoinPartIds(m_request.m_parts) : "")
       .Milliseconds("after_ms", Elapsed());
     AppendExchangeState(line);
     m_state->Log(line);
@@ -481,9 +514,13 @@
     const std::string errorMessage = m_errorMessage.empty()
                                        ? "upstreams did not take the request"
                                        : m_errorMessage;
-    LocalResponse refusal{
-      503, code, errorMessage, m_state->m_options.m_retryAfterTransient
-    };
+    const ForwardingOptions& options = m_state->m_options;
+    LocalResponse refusal{ 503,
+                           code,
+                           errorMessage,
+                           code == ResultCode::kPromptQuarantined
+                             ? options.m_minQuarantineRetry
+                             : options.m_retryAfterTransient };
     co_await RespondLocally(std::move(refusal));
     co_return;
   }
--- a/lib/Forwarding/UpstreamExchange.cpp
+++ b/lib/Forwarding/UpstreamExchange.cpp
@@ -116,7 +116,7 @@
     }
   } while (!error && m_parser->get().result_int() < kFirstFinalStatus);
   if (error) {
-    m_error = error.message();
+    NoteReadError(error);
     co_return std::nullopt;
   }
   Head head;
@@ -140,7 +140,12 @@
       m_socket, m_buffer, *m_parser, Into(error));
     bytes.swap(m_parser->get().body());
   }
-  m_error = error ? error.message() : std::string();
+  m_error.clear();
+  if (error) {
+    NoteReadError(error);
+  } else if (m_parser->is_done() && m_parser->need_eof()) {
+    m_wasEnded = m_abortReason == AbortReason::kNone;
+  }
   // A response without a length is complete when the connection ends, unless
   // the connection was reset or the exchange aborted, which are read errors.
   m_hasBody = m_hasBody || !bytes.empty();
@@ -150,10 +155,28 @@
 }
 
 bool
-  // the connection was reset or the exchange aborted, which are read errors.
-  m_hasBody = m_hasBody || !bytes.empty();
-  m_isComplete = m_parser->is_done() && !error &&
-                 !(m_parser->need_eof() && (m_hasSendFailed || IsBare()));
+UpstreamExchange::IsBare() const
+{
+  return !m_hasBody && http::to_status_class(m_parser->get().result()) ==
+                         http::status_class::successful;
+}
+
+void
+UpstreamExchange::NoteReadError(const ErrorCode& aError)
+{
+  m_error = aError.message();
+  const bool isMalformed =
+    aError.category() == make_error_code(http::error::bad_field).category() &&
+    aError != http::error::end_of_stream &&
+    aError != http::error::partial_message;
+  m_wasEnded = !isMalformed && m_abortReason == AbortReason::kNone;
+}
+
+bool
+UpstreamExchange::HasUnreadBytes() const
+{
+  ErrorCode ignored;
+  return m_socket.available(ignored) > 0;
 }
 
 void
