Quarantine: late objections, parts that were sound before, long prompts, trials

Findings of the review of the quarantine, before its landing. What callers would have seen: a prompt part that was sound before it became deadly was never quarantined, since each objection, though older than all crashes, started the wait anew; a sound part that one router quarantined too early stayed refused although another had begun a response after the last crash; a rarely used part was refused for crashes long past; a prompt of 2,500 parts held up all other reports; a trial was repeated by its own request. Cause: the times of the verdict were compared where the times of the evidence count. Evidence: four new cases of PromptQuarantineTest. They were written with the fix and not run against the code before it; the review derives each failure from the code.

--- a/include/bergamotpaddle/Gateway/PromptQuarantine.h
+++ b/include/bergamotpaddle/Gateway/PromptQuarantine.h
@@ -41,9 +41,9 @@
   /// of a rack: above the delay with which routers notice the same crash.
   Duration m_incidentInterval = std::chrono::milliseconds(250);
   std::size_t m_minIncidents = 3;
-  /// Time for other routers to report that a response with the part began: a
-  /// heartbeat of the digests and the interval in which changes are coalesced.
-  Duration m_objectionTime = std::chrono::milliseconds(600);
+  /// Time for other routers to report that a response with the part began: two
+  /// heartbeats of the digests, since a datagram may be lost.
+  Duration m_objectionTime = std::chrono::milliseconds(1000);
   /// Crashes and responses older than this are forgotten.
   Duration m_memory = std::chrono::seconds(60);
   /// Time until a quarantined part is tried again; doubled with each trial that
@@ -82,9 +82,10 @@
 struct QuarantinedPart
 {
   std::uint64_t m_part = 0;
-  std::int64_t m_ageMs = 0; ///< Since it was quarantined or last tried.
-  int m_trials = 0;         ///< Trials so far.
-  MSGPACK_DEFINE(m_part, m_ageMs, m_trials)
+  std::int64_t m_ageMs = 0;      ///< Since it was quarantined or last tried.
+  int m_trials = 0;              ///< Trials so far.
+  std::int64_t m_crashAgeMs = 0; ///< Since the last crash that it explains.
+  MSGPACK_DEFINE(m_part, m_ageMs, m_trials, m_crashAgeMs)
   auto operator<=>(const QuarantinedPart&) const = default;
 };
 
@@ -131,6 +132,7 @@
 /// One router's view of suspect and quarantined prompt parts. Performs no I/O.
 ///
 /// The last part of a prompt belongs to its request alone; it is never suspect.
+/// Of longer prompts only the first 64 parts are considered.
 class PromptQuarantine
 {
 public:
@@ -186,6 +188,7 @@
   {
     Instant m_since{}; ///< Quarantined or last tried.
     int m_trials = 0;
+    Instant m_lastCrashAt{}; ///< A later response ends the quarantine.
     std::set<std::uint32_t> m_crashes; ///< That the part explains.
   };
   template<typename T>
@@ -210,6 +213,8 @@
   /// Whether a quarantined part without any response explains \p aCrash, so
   /// that it says nothing of other parts.
   bool IsExplained(std::uint32_t aCrash) const;
+  /// Forgets old crashes and records whether the rest reach the thresholds.
+  void UpdateThreshold(Suspicion& aSuspicion, Instant aNow) const;
   std::size_t Incidents(const Suspicion& aSuspicion) const;
   Duration TrialInterval(const Quarantine& aQuarantine) const;
   void ForgetOld(Instant aNow);
--- a/lib/Forwarding/RequestAdmission.cpp
+++ b/lib/Forwarding/RequestAdmission.cpp
@@ -131,7 +131,8 @@
 bool
 RequestRun::IsPromptQuarantined()
 {
-  if (m_isPromptTrial ||
+  const bool isTrial = m_isPromptTrial && m_progress->Arrivals() == 0;
+  if (isTrial ||
       !m_state->m_quarantine.RefusedFor(m_request.m_parts, m_state->Now())) {
     return false;
   }
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -123,6 +123,7 @@
     if (state != nullptr && !state->m_entry.m_isDraining) {
       m_choice = *reserved;
       m_upstreamAddress = state->m_entry.m_address;
+      m_upstreamStartedAtMs = state->m_entry.m_startedAtMs;
       return true;
     }
   }
--- a/lib/Forwarding/RequestTimeouts.cpp
+++ b/lib/Forwarding/RequestTimeouts.cpp
@@ -47,6 +47,9 @@
 bool
 RequestRun::ReserveFailover(Instant aNow)
 {
+  if (m_state->m_quarantine.RefusedFor(m_request.m_parts, aNow)) {
+    return false; // No upstream may get the request any more.
+  }
   Failover failover(
     m_state->m_upstreams, m_state->m_placement, m_state->m_retries);
   const FailoverResult result =
--- a/lib/Gateway/PromptQuarantine.cpp
+++ b/lib/Gateway/PromptQuarantine.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t kMaxNews = 256;
 /// Crashes that are remembered of a quarantined part.
 constexpr std::size_t kMaxExplainedCrashes = 64;
+/// Parts of one prompt that are considered: callers choose their number, and
+/// reports have to reach other routers in time.
+constexpr std::size_t kMaxPromptParts = 64;
 
 std::int64_t
 AgeMs(Instant aAt, Instant aNow)
@@ -38,7 +41,7 @@
 SharedParts(const std::vector<PromptPart>& aParts)
 {
   std::vector<std::uint64_t> shared;
-  for (std::size_t i = 0; i + 1 < aParts.size(); ++i) {
+  for (std::size_t i = 0; i + 1 < aParts.size() && i < kMaxPromptParts; ++i) {
     shared.push_back(aParts[i].m_id);
   }
   return shared;
@@ -81,6 +84,14 @@
   for (const std::uint64_t part : shared) {
     Suspect(part, aCrash, aNow, aNow);
   }
+  for (const News<CrashReport>& news : m_crashNews) {
+    if (news.m_item.m_crash == aCrash) {
+      std::erase_if(shared, [&news](std::uint64_t aPart) {
+        const auto& parts = news.m_item.m_parts;
+        return std::find(parts.begin(), parts.end(), aPart) != parts.end();
+      });
+    }
+  }
   // Digests are small: a long prompt is reported in several entries.
   for (std::size_t begin = 0; begin < shared.size();
        begin += kMaxReportedParts) {
@@ -113,6 +124,8 @@
   }
   const auto quarantine = m_quarantines.find(aPart);
   if (quarantine != m_quarantines.end()) {
+    quarantine->second.m_lastCrashAt =
+      std::max(quarantine->second.m_lastCrashAt, aAt);
     if (quarantine->second.m_crashes.size() < kMaxExplainedCrashes) {
       quarantine->second.m_crashes.insert(aCrash);
     }
@@ -129,17 +142,23 @@
     return;
   }
   Suspicion& suspicion = m_suspicions[aPart];
-  std::erase_if(suspicion.m_crashes, [&](const auto& aEntry) {
+  suspicion.m_crashes.try_emplace(aCrash, aAt);
+  UpdateThreshold(suspicion, aNow);
+}
+
+void
+PromptQuarantine::UpdateThreshold(Suspicion& aSuspicion, Instant aNow) const
+{
+  std::erase_if(aSuspicion.m_crashes, [&](const auto& aEntry) {
     return aNow - aEntry.second > m_options.m_memory;
   });
-  suspicion.m_crashes.try_emplace(aCrash, aAt);
   const bool isAboveThresholds =
-    suspicion.m_crashes.size() >= m_options.m_minCrashes &&
-    Incidents(suspicion) >= m_options.m_minIncidents;
+    aSuspicion.m_crashes.size() >= m_options.m_minCrashes &&
+    Incidents(aSuspicion) >= m_options.m_minIncidents;
   if (!isAboveThresholds) {
-    suspicion.m_thresholdAt.reset();
-  } else if (!suspicion.m_thresholdAt) {
-    suspicion.m_thresholdAt = aNow;
+    aSuspicion.m_thresholdAt.reset();
+  } else if (!aSuspicion.m_thresholdAt) {
+    aSuspicion.m_thresholdAt = aNow;
   }
 }
 
@@ -178,14 +197,14 @@
   if (wasSuspect) {
     std::erase_if(suspicion->second.m_crashes,
                   [aAt](const auto& aEntry) { return aEntry.second <= aAt; });
-    suspicion->second.m_thresholdAt.reset();
+    UpdateThreshold(suspicion->second, aNow);
     if (suspicion->second.m_crashes.empty()) {
       m_suspicions.erase(suspicion);
     }
   }
   const auto quarantine = m_quarantines.find(aPart);
   const bool wasQuarantined =
-    quarantine != m_quarantines.end() && quarantine->second.m_since <= aAt;
+    quarantine != m_quarantines.end() && quarantine->second.m_lastCrashAt < aAt;
   if (wasQuarantined) {
     m_changes.push_back({ QuarantineChange::Kind::kCleared,
                           aPart,
@@ -248,7 +267,11 @@
 PromptQuarantine::QuarantineIfDue(std::uint64_t aPart, Instant aNow)
 {
   const auto suspicion = m_suspicions.find(aPart);
-  if (suspicion == m_suspicions.end() || !suspicion->second.m_thresholdAt ||
+  if (suspicion == m_suspicions.end()) {
+    return;
+  }
+  UpdateThreshold(suspicion->second, aNow);
+  if (!suspicion->second.m_thresholdAt ||
       aNow - *suspicion->second.m_thresholdAt < m_options.m_objectionTime) {
     return;
   }
@@ -261,7 +284,11 @@
                         suspicion->second.m_crashes.size(),
                         Incidents(suspicion->second),
                         0 });
-  AddQuarantine(aPart, { aNow, 0, {} });
+  Instant lastCrashAt{};
+  for (const auto& [crash, at] : suspicion->second.m_crashes) {
+    lastCrashAt = std::max(lastCrashAt, at);
+  }
+  AddQuarantine(aPart, { aNow, 0, lastCrashAt, {} });
 }
 
 bool
@@ -270,6 +297,8 @@
 {
   const auto known = m_quarantines.find(aPart);
   if (known != m_quarantines.end()) {
+    known->second.m_lastCrashAt =
+      std::max(known->second.m_lastCrashAt, aQuarantine.m_lastCrashAt);
     if (aQuarantine.m_trials > known->second.m_trials) {
       known->second.m_since = aQuarantine.m_since;
       known->second.m_trials = aQuarantine.m_trials;
@@ -298,7 +327,9 @@
       std::erase_if(other.m_crashes, [this](const auto& aCrash) {
         return IsExplained(aCrash.first);
       });
-      other.m_thresholdAt.reset();
+      if (other.m_crashes.size() < m_options.m_minCrashes) {
+        other.m_thresholdAt.reset();
+      }
     }
   }
   return true;
@@ -321,7 +352,10 @@
   for (const std::uint64_t part : SharedParts(aParts)) {
     QuarantineIfDue(part, aNow);
     const auto quarantine = m_quarantines.find(part);
-    if (quarantine != m_quarantines.end()) {
+    if (quarantine != m_quarantines.end() &&
+        aNow - quarantine->second.m_since > m_options.m_quarantineMemory) {
+      m_quarantines.erase(quarantine);
+    } else if (quarantine != m_quarantines.end()) {
       const Duration left = std::max(quarantine->second.m_since +
                                        TrialInterval(quarantine->second) - aNow,
                                      Duration(0));
@@ -359,22 +393,30 @@
 PromptQuarantine::NextReport(Instant aNow)
 {
   QuarantineReport report;
+  // What is sent goes to the back, so that repeats do not hold up other news.
   std::size_t parts = 0;
-  for (News<CrashReport>& news : m_crashNews) {
+  for (std::size_t left = m_crashNews.size(); left > 0; --left) {
+    News<CrashReport> news = std::move(m_crashNews.front());
     parts += news.m_item.m_parts.size();
     if (parts > kMaxReportedParts) {
+      m_crashNews.front() = std::move(news);
       break;
     }
     report.m_crashes.push_back(news.m_item);
     report.m_crashes.back().m_ageMs = AgeMs(news.m_at, aNow);
     --news.m_repeatsLeft;
-  }
-  for (News<ClearedPart>& news : m_clearedNews) {
-    if (report.m_cleared.size() == kMaxReportedClearances) {
-      break;
-    }
+    m_crashNews.pop_front();
+    m_crashNews.push_back(std::move(news));
+  }
+  for (std::size_t left =
+         std::min(m_clearedNews.size(), kMaxReportedClearances);
+       left > 0;
+       --left) {
+    News<ClearedPart> news = m_clearedNews.front();
     report.m_cleared.push_back({ news.m_item.m_part, AgeMs(news.m_at, aNow) });
     --news.m_repeatsLeft;
+    m_clearedNews.pop_front();
+    m_clearedNews.push_back(news);
   }
   const auto isTold = [](const auto& aNews) {
     return aNews.m_repeatsLeft <= 0;
@@ -411,14 +453,18 @@
   }
   for (const QuarantinedPart& quarantined : aReport.m_quarantined) {
     const Instant since = TimeOfAge(quarantined.m_ageMs, aNow);
+    const Instant lastCrashAt = TimeOfAge(quarantined.m_crashAgeMs, aNow);
+    if (aNow - since > m_options.m_quarantineMemory) {
+      continue;
+    }
     const auto begunAt = m_begunAt.find(quarantined.m_part);
-    if (begunAt != m_begunAt.end() && begunAt->second > since) {
+    if (begunAt != m_begunAt.end() && begunAt->second > lastCrashAt) {
       // The sender does not know yet of a response that began afterwards.
       TellBegun(quarantined.m_part, begunAt->second);
       continue;
     }
     if (AddQuarantine(quarantined.m_part,
-                      { since, quarantined.m_trials, {} })) {
+                      { since, quarantined.m_trials, lastCrashAt, {} })) {
       m_changes.push_back({ QuarantineChange::Kind::kAdopted,
                             quarantined.m_part,
                             0,
@@ -433,8 +479,10 @@
 {
   std::vector<QuarantinedPart> quarantined;
   for (const auto& [part, quarantine] : m_quarantines) {
-    quarantined.push_back(
-      { part, AgeMs(quarantine.m_since, aNow), quarantine.m_trials });
+    quarantined.push_back({ part,
+                            AgeMs(quarantine.m_since, aNow),
+                            quarantine.m_trials,
+                            AgeMs(quarantine.m_lastCrashAt, aNow) });
   }
   return quarantined;
 }
--- a/unittests/Gateway/PromptQuarantineTest.cpp
+++ b/unittests/Gateway/PromptQuarantineTest.cpp
@@ -393,6 +393,70 @@
   CHECK(fleet.SoundSent() > 500);
 }
 
+TEST_CASE("a prompt part that was sound becomes deadly", "[quarantine]")
+{
+  FleetOptions options;
+  options.m_deadlyShare = 0.05;
+  options.m_seed = GENERATE(1U, 2U, 3U, 4U);
+  Fleet fleet(options);
+  fleet.RunTo(15'000);
+  for (std::size_t router = 0; router < options.m_trafficShares.size();
+       ++router) {
+    fleet.Begin(router, Prompt({ 1, kDeadlySubject, kDeadlyPart, 7 }));
+  }
+  fleet.RunTo(46'000);
+  REQUIRE(fleet.DeadlyCrashes().size() >= 4);
+  if (fleet.DeadlyCrashes().size() >= 5) {
+    CHECK(fleet.DeadlySentAfter(fleet.DeadlyCrashes()[4] + 3'000) <= 3);
+  }
+}
+
+TEST_CASE("a late objection ends a quarantine", "[quarantine]")
+{
+  PromptQuarantine router;
+  PromptQuarantine other;
+  const auto prompt = Prompt({ 1, 2, 3 });
+  for (std::uint32_t crash = 0; crash < 4; ++crash) {
+    router.NoteCrash(crash, prompt, At(1'000 + 300 * static_cast<int>(crash)));
+  }
+  other.NoteBegun(prompt, At(2'000));
+  REQUIRE(router.RefusedFor(prompt, At(2'950)));
+  other.Apply(router.NextReport(At(3'000)), At(3'000));
+  CHECK_FALSE(other.RefusedFor(prompt, At(3'000)));
+  router.Apply(other.NextReport(At(3'100)), At(3'100));
+  CHECK_FALSE(router.RefusedFor(prompt, At(3'100)));
+}
+
+TEST_CASE("crashes that are long past quarantine nothing", "[quarantine]")
+{
+  PromptQuarantine router;
+  const auto prompt = Prompt({ 1, 2, 3 });
+  for (std::uint32_t crash = 0; crash < 4; ++crash) {
+    router.NoteCrash(crash, prompt, At(1'000 + 300 * static_cast<int>(crash)));
+  }
+  CHECK_FALSE(router.RefusedFor(prompt, At(600'000)));
+}
+
+TEST_CASE("a long prompt does not hold up the reports of a crash",
+          "[quarantine]")
+{
+  PromptQuarantine router;
+  std::vector<std::uint64_t> ids;
+  for (std::uint64_t id = 1; id <= 2'500; ++id) {
+    ids.push_back(id);
+  }
+  router.NoteCrash(1, Prompt(ids), At(1'000));
+  router.NoteCrash(2, Prompt({ 9'000, kDeadlyPart, 9 }), At(1'000));
+  bool isReported = false;
+  for (int digest = 1; digest <= 4; ++digest) {
+    const int now = 1'000 + 100 * digest;
+    for (const CrashReport& crash : router.NextReport(At(now)).m_crashes) {
+      isReported = isReported || crash.m_crash == 2;
+    }
+  }
+  CHECK(isReported);
+}
+
 TEST_CASE("a quarantined prompt part", "[quarantine]")
 {
   PromptQuarantineOptions options;
@@ -405,7 +469,7 @@
     now += 400;
   }
   CHECK_FALSE(router.RefusedFor(prompt, At(now)));
-  now += 300;
+  now += 700;
   REQUIRE(router.RefusedFor(prompt, At(now)));
 
   SECTION("refuses requests that hold it before the last part only")
--- a/unittests/Platform/DeadlyPromptPartTest.cpp
+++ b/unittests/Platform/DeadlyPromptPartTest.cpp
@@ -67,7 +67,8 @@
       restartUpstreams();
       fixture.RunFor(std::chrono::milliseconds(250));
     }
-    fixture.RunFor(std::chrono::milliseconds(650));
+    fixture.RunFor(std::chrono::duration_cast<std::chrono::milliseconds>(
+      options.m_objectionTime + std::chrono::milliseconds(50)));
     const std::size_t sentBefore = sentCount();
     script({ wholeStream });
 
