Log: name the first failure of a stream that the router closes

What callers saw: a stream closed by the router. Its caller.closed line told why the last exchange ended. After a move away from a silent upstream that is the replacement: cause=upstream if it refused or broke off, cause=deadline if it stayed silent.

Observability only, before any change of logic: caller.closed has first_cause, the cause of the request's first failed exchange.

--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -151,6 +151,7 @@
   ResultCode m_code = ResultCode::kInternal;
   int m_status = 0;
   std::string m_errorMessage;
+  std::string_view m_firstFailure; ///< Why the first exchange that failed did.
   std::optional<Duration> m_timeToFirstByte;
   Instant m_upstreamHeardAt{}; ///< Start of the exchange, or bytes since.
   std::optional<Instant> m_lastEventAt;
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -443,6 +443,9 @@
       now);
   }
   if (health != ExchangeOutcome::kSucceeded) {
+    if (m_firstFailure.empty()) {
+      m_firstFailure = Describe(m_exchange->GetAbortReason());
+    }
     LogLine line("exchange.failed");
     line.Text("request", m_request.m_attemptId)
       .Text("upstream", m_choice.m_upstream.Str())
@@ -498,6 +501,7 @@
     LogLine line("caller.closed");
     line.Text("request", m_request.m_attemptId);
     AppendExchangeState(line);
+    line.Text("first_cause", m_firstFailure);
     m_state->Log(line);
     m_caller->Close();
     co_return;
--- a/unittests/Platform/SilentUpstreamTest.cpp
+++ b/unittests/Platform/SilentUpstreamTest.cpp
@@ -330,6 +330,17 @@
     CHECK(Contains(logLine("caller.closed"), "\"cause\":\"caller\""));
   }
 
+  SECTION("names the first failure if the one of a later upstream closed it")
+  {
+    SilenceFixture moved(2);
+    moved.Script({ BegunStream(), false, true }, { "", true });
+    moved.Call("/resume/x");
+    moved.m_log.Flush();
+    const std::string line = moved.m_logPipe.LineOf("caller.closed");
+    CHECK(Contains(line, "\"cause\":\"deadline\""));
+    CHECK(Contains(line, "\"first_cause\":\"upstream\""));
+  }
+
   SECTION("has the same fields for a failed exchange")
   {
     script({ "", false, true });
