--- a/test/platform_stand_in.py
+++ b/test/platform_stand_in.py
@@ -159,7 +159,7 @@
     def put(self, key, document):
         return self.run_in_loop(self.store.put(key, json.dumps(document)))
 
-    def start_gateway(self, number, link_mbps, store_port=None, seeds=()):
+    def start_gateway(self, number, link_mbps, store_port=None, seeds=(), bounds=None):
         """Starts a gateway on its own loopback address, which is returned; the ports are the same for all gateways."""
         ip = f"127.0.0.{number}"
         settings = {
@@ -167,7 +167,7 @@
             "listen": {"front": f"{ip}:{self.caller_port}", "ready": f"{ip}:{self.ready_port}"},
             "portRange": [self.peer_port, self.peer_port], "seeds": [f"{peer}:1" for peer in seeds],
             "limits": {"linkMbps": link_mbps},
-            "bounds": {"configMs": 3000},
+            "bounds": {"configMs": 3000, **(bounds or {})},
             "provider": {"addr": f"127.0.0.1:{store_port or self.store_port}"},
         }
         path = pathlib.Path(self.directory.name) / f"{number}.json"
--- /dev/null
+++ b/test/test_lost_answers.py
@@ -0,0 +1,249 @@
+"""A real gateway beside upstreams that pause, refuse or die: whole requests get whole answers."""
+import asyncio
+import json
+import time
+import unittest
+
+from platform_stand_in import CONFIG_KEY, Platform
+from scripted_upstream import (
+    Caller, ScriptedUpstream, answer, break_off, closed_port, fail, later, refuse, stay_silent, stream)
+
+EVENT_COUNT = 5
+# A sound upstream may fall silent for a second or so and go on.
+STREAM_PAUSE_SECONDS = 1.5
+CALL_SECONDS = 1.2
+TIMEOUT_MS = 8000
+# Callers abandon a stream after this time without an event (that is more than four times the objective and more
+# than eight times the aim for pauses of the routes here).
+CALLER_PATIENCE_SECONDS = 2
+# A request that goes on at another upstream must not be at work at the one before for longer than this.
+OVERLAP_SECONDS = 0.4
+WHOLE_STREAM = list(range(1, EVENT_COUNT + 1))
+PAUSING_STREAM = stream(EVENT_COUNT, {1: STREAM_PAUSE_SECONDS})
+PAUSING_CALL = answer(CALL_SECONDS)
+
+
+def route(name, kind, service, attempts=2, timeout_ms=TIMEOUT_MS):
+    return {"name": name, "host": "desk.example", "pathPrefix": f"/{name}/", "service": service, "kind": kind,
+            "resumable": kind == "streaming", "timeoutMs": timeout_ms, "sloMs": 100, "gapAimMs": 200,
+            "attempts": attempts, "priority": 1, "public": True}
+
+
+class Site:
+    """One gateway and its scripted upstreams, all in the event loop of the platform."""
+
+    def __init__(self, routes, bounds=None):
+        self.platform = Platform()
+        self.routes = [*routes, route("probe", "safe", "probe")]
+        self.version = 0
+        self.upstreams = []
+        self.run(self.configure())
+        self.ip = self.platform.start_gateway(2, 1000, bounds=bounds)
+
+    @property
+    def process(self):
+        return self.platform.gateways[0]
+
+    def run(self, coroutine):
+        return self.platform.run_in_loop(coroutine)
+
+    def close(self):
+        self.platform.close()
+
+    def caller(self, patience=CALLER_PATIENCE_SECONDS):
+        return Caller(self.ip, self.platform.caller_port, patience)
+
+    async def configure(self):
+        """Writes a new version of the configuration."""
+        self.version += 1
+        services = sorted({route_["service"] for route_ in self.routes})
+        document = {"version": self.version, "routes": self.routes, "limits": {},
+                    "services": [{"name": service} for service in services]}
+        await self.platform.store.put(CONFIG_KEY, json.dumps(document))
+
+    async def enter(self, upstream_id, service, address):
+        """Writes the entry of an upstream."""
+        entry = {"service": service, "addr": address, "zone": "z", "version": 1, "slots": 8, "state": "ready",
+                 "coldLeftMs": 0, "seq": 1, "born": 1}
+        await self.platform.store.put(f"servers/{upstream_id}", json.dumps(entry))
+
+    async def start_upstream(self, upstream_id, service, script, is_entered=True):
+        upstream = await ScriptedUpstream(upstream_id, service, script).start()
+        self.upstreams.append(upstream)
+        if is_entered:
+            await self.enter(upstream.id, service, upstream.address)
+        return upstream
+
+    async def settle(self):
+        """Waits until the gateway knows everything that was written so far."""
+        name = f"probe-{len(self.upstreams)}-{self.version}"
+        self.routes.append(route(name, "safe", name))
+        await self.configure()
+        await self.start_upstream(name, name, answer())
+        give_up_at = time.monotonic() + 20
+        while (await self.caller().call(f"/{name}/", 500)).status != 200:
+            if time.monotonic() > give_up_at:
+                raise TimeoutError("the gateway does not serve")
+            await asyncio.sleep(0.05)
+
+    def arrivals_of(self, answer_):
+        """Returns the pairs of upstream and arrival of a request."""
+        return [(upstream, arrival) for upstream in self.upstreams for arrival in upstream.arrivals
+                if arrival.attempt_id == answer_.attempt_id]
+
+
+ABSENT = object()
+# What another upstream does; None: its port is closed.
+OTHERS = {
+    "is not there": (ABSENT, ABSENT),
+    "resumes": (stream(EVENT_COUNT), answer()),
+    "refuses": (refuse, refuse),
+    "breaks off": (break_off, break_off),
+    "answers 500": (fail, fail),
+    "has a closed port": (None, None),
+    "stays silent": (stay_silent, stay_silent),
+}
+
+
+def pause_routes():
+    names = [f"{kind}-{index}" for index in range(len(OTHERS)) for kind in ("stream", "call")]
+    return [route(name, "streaming" if name.startswith("stream") else "safe", name) for name in names]
+
+
+async def pause_beside_other(site, sound, other_script, other_after, patience):
+    """Returns the answer of a request whose upstream pauses while another upstream appears in the list."""
+    call = asyncio.ensure_future(site.caller(patience).call(f"/{sound.service}/", TIMEOUT_MS))
+    await asyncio.wait_for(sound.arrived.wait(), CALLER_PATIENCE_SECONDS)
+    await asyncio.sleep(other_after)
+    other_id = f"other-{sound.service}"
+    if other_script is ABSENT:
+        return await call
+    if other_script is None:
+        with closed_port() as holder:
+            await site.enter(other_id, sound.service, "127.0.0.1:%d" % holder.getsockname()[1])
+            return await call
+    await site.start_upstream(other_id, sound.service, other_script)
+    return await call
+
+
+async def all_pauses(site, patience):
+    """Returns the answers to a stream and a call beside each of OTHERS, by the pair of kind and behaviour."""
+    cases = {}
+    for index, (behaviour, scripts) in enumerate(OTHERS.items()):
+        for kind, script, other_script, other_after in (
+                ("stream", PAUSING_STREAM, scripts[0], 0.2), ("call", PAUSING_CALL, scripts[1], 0.1)):
+            sound = await site.start_upstream(f"sound-{kind}-{index}", f"{kind}-{index}", script)
+            cases[kind, behaviour] = (sound, other_script, other_after)
+    await site.settle()
+    calls = [pause_beside_other(site, *case, patience) for case in cases.values()]
+    return dict(zip(cases, await asyncio.gather(*calls)))
+
+
+async def change_during_pauses(site, patience, count=4):
+    """Moves two routes to services whose upstreams refuse, while requests of the old services are in a pause.
+
+    The hosts of the old services are about to leave, so their other upstreams refuse too. Returns the answers to the
+    requests before and after the change.
+    """
+    sound = {}
+    for name, script in (("stream", PAUSING_STREAM), ("call", PAUSING_CALL)):
+        sound[name] = await site.start_upstream(f"sound-{name}", f"old-{name}", script)
+        await site.start_upstream(f"new-{name}", f"new-{name}", refuse, is_entered=False)
+    await site.settle()
+    before = [asyncio.ensure_future(site.caller(patience).call(f"/{name}/", TIMEOUT_MS))
+              for name in ("stream", "call") for _ in range(count)]
+    await asyncio.gather(*(upstream.arrived.wait() for upstream in sound.values()))
+    for name in ("stream", "call"):
+        await site.start_upstream(f"leaving-{name}", f"old-{name}", refuse)
+        new = next(upstream for upstream in site.upstreams if upstream.id == f"new-{name}")
+        await site.enter(new.id, new.service, new.address)
+    site.routes = [{**route_, "service": f"new-{route_['name']}"} if route_["name"] in ("stream", "call") else route_
+                   for route_ in site.routes]
+    await site.configure()
+    await asyncio.sleep(0.5)
+    after = [asyncio.ensure_future(site.caller(patience).call(f"/{name}/", TIMEOUT_MS)) for name in ("stream", "call")]
+    return await asyncio.gather(*before), await asyncio.gather(*after)
+
+
+def change_routes():
+    return [route("stream", "streaming", "old-stream"), route("call", "safe", "old-call")]
+
+
+# What becomes of an upstream after its first event, or instead of an answer. Another one is known by then.
+DEATHS = {"silent": stay_silent, "reset": later(0.3, break_off)}
+
+
+def death_routes():
+    routes = [route(f"{kind}-{death}", "streaming" if kind == "stream" else "safe", f"{kind}-{death}")
+              for kind in ("stream", "call") for death in DEATHS]
+    return [*routes, route("stream-refused", "streaming", "stream-refused", attempts=3)]
+
+
+async def all_deaths(site):
+    """Returns the answers to requests whose upstream dies while another one can take over."""
+    cases = {}
+    for death, script in DEATHS.items():
+        cases[f"stream-{death}"] = (stream(EVENT_COUNT, end={1: script}), [stream(EVENT_COUNT)])
+        cases[f"call-{death}"] = (script, [answer()])
+    cases["stream-refused"] = (stream(EVENT_COUNT, end={1: stay_silent}), [refuse, stream(EVENT_COUNT)])
+    dead = [await site.start_upstream(f"dead-{name}", name, script) for name, (script, _) in cases.items()]
+    await site.settle()
+    calls = {name: asyncio.ensure_future(site.caller().call(f"/{name}/", TIMEOUT_MS)) for name in cases}
+    await asyncio.gather(*(upstream.arrived.wait() for upstream in dead))
+    for name, (_, others) in cases.items():
+        for index, script in enumerate(others):
+            await site.start_upstream(f"other-{index}-{name}", name, script)
+    return dict(zip(calls, await asyncio.gather(*calls.values())))
+
+
+class LostAnswers(unittest.TestCase):
+    def start(self, routes, bounds=None):
+        site = Site(routes, bounds)
+        self.addCleanup(site.close)
+        return site
+
+    def assert_whole(self, site, answer_):
+        """Checks that a stream or a call was answered by its upstream, with no event twice or missing."""
+        arrivals = site.arrivals_of(answer_)
+        self.assertTrue(answer_.is_complete, answer_)
+        self.assertEqual(answer_.status, 200, answer_)
+        seal = answer_.fields["bergamotpaddle-response-seal"]
+        if "text/event-stream" in answer_.fields.get("content-type", ""):
+            self.assertEqual(answer_.event_ids, WHOLE_STREAM)
+            self.assertEqual(seal, f"seal-{arrivals[0][0].id}-200")
+        else:
+            self.assertIn((seal, answer_.body.decode()),
+                          [(f"seal-{upstream.id}-200", f"answer of {upstream.id}") for upstream, _ in arrivals])
+
+    # Guards against requests that left a sound upstream for one that didn't take them.
+    def test_pause_of_sound_upstream_beside_another_one(self):
+        site = self.start(pause_routes())
+        for (kind, behaviour), answer_ in site.run(all_pauses(site, CALLER_PATIENCE_SECONDS)).items():
+            with self.subTest(kind=kind, other=behaviour):
+                self.assert_whole(site, answer_)
+                arrivals = dict((upstream.id.split("-")[0], arrival) for upstream, arrival in
+                                site.arrivals_of(answer_))
+                if kind == "stream" and behaviour == "resumes" and "other" in arrivals:
+                    overlap = arrivals["sound"].ended_at - arrivals["other"].response_at
+                    self.assertLess(overlap, OVERLAP_SECONDS)
+
+    def test_pauses_while_route_moves_to_service_that_refuses(self):
+        site = self.start(change_routes())
+        before, after = site.run(change_during_pauses(site, CALLER_PATIENCE_SECONDS))
+        for index, answer_ in enumerate(before):
+            with self.subTest(in_flight=index):
+                self.assert_whole(site, answer_)
+        for answer_ in after:
+            with self.subTest(after_change=str(answer_)):
+                self.assertTrue(answer_.is_complete)
+                self.assertEqual(answer_.status, 503)
+
+    def test_request_of_dead_upstream_goes_on_at_another_one_before_the_caller_leaves(self):
+        site = self.start(death_routes())
+        for name, answer_ in site.run(all_deaths(site)).items():
+            with self.subTest(name):
+                self.assert_whole(site, answer_)
+
+
+if __name__ == "__main__":
+    unittest.main()
