--- a/test/test_lost_answers.py
+++ b/test/test_lost_answers.py
@@ -1,6 +1,7 @@
-"""A real gateway beside upstreams that pause, refuse or die: whole requests get whole answers."""
+"""A real gateway beside upstreams that pause, refuse or die, and in a stop: whole requests get whole answers."""
 import asyncio
 import json
+import signal
 import time
 import unittest
 
@@ -18,6 +19,10 @@
 CALLER_PATIENCE_SECONDS = 2
 # A request that goes on at another upstream must not be at work at the one before for longer than this.
 OVERLAP_SECONDS = 0.4
+GRACE_SECONDS = 8
+# How far the clocks of the two sides may differ on when a stop began: delivery of the signal and of a request.
+SIGNAL_SECONDS = 0.1
+STOP_TIMEOUT_MS = 15000
 WHOLE_STREAM = list(range(1, EVENT_COUNT + 1))
 PAUSING_STREAM = stream(EVENT_COUNT, {1: STREAM_PAUSE_SECONDS})
 PAUSING_CALL = answer(CALL_SECONDS)
@@ -196,6 +201,39 @@
     return dict(zip(calls, await asyncio.gather(*calls.values())))
 
 
+async def stop_with_late_requests(site):
+    """Sends SIGTERM and requests before and after it. Returns the time of the signal and the answers by case."""
+    await site.start_upstream("worker", "once", answer())
+    await site.settle()
+    kept = site.caller(STOP_TIMEOUT_MS / 1000)
+    await kept.call("/once/", STOP_TIMEOUT_MS)
+    stopped_at = time.monotonic() + 0.5
+
+    async def call(at, work_seconds, caller=None, rest_at=None):
+        await asyncio.sleep(stopped_at + at - time.monotonic())
+        caller = caller or site.caller(STOP_TIMEOUT_MS / 1000)
+        return await caller.call("/once/", STOP_TIMEOUT_MS, b"x" * 1000,
+                                 stopped_at + rest_at if rest_at is not None else None,
+                                 [f"Work-Ms: {round(1000 * work_seconds)}"])
+
+    cases = {
+        "half a body before the stop, the rest at 6 s, 3 s of work": call(-0.2, 3, rest_at=6),
+        "new connection at 2.3 s, 6 s of work": call(2.3, 6),
+        "new connection at 1 s, 6.1 s of work": call(1, 6.1),
+        "idle kept connection at 2 s, short work": call(2, 0.05, kept),
+        "half a body before the stop, the rest at 2.9 s, 3 s of work": call(-0.2, 3, rest_at=2.9),
+        "half a body before the stop, the rest at 6 s, short work": call(-0.2, 0.05, rest_at=6),
+        "new connection at 3.5 s, short work": call(3.5, 0.05),
+    }
+
+    async def stop():
+        await asyncio.sleep(stopped_at - time.monotonic())
+        site.process.send_signal(signal.SIGTERM)
+
+    answers = await asyncio.gather(*cases.values(), stop())
+    return stopped_at, dict(zip(cases, answers))
+
+
 class LostAnswers(unittest.TestCase):
     def start(self, routes, bounds=None):
         site = Site(routes, bounds)
@@ -244,6 +282,29 @@
             with self.subTest(name):
                 self.assert_whole(site, answer_)
 
+    # Guards against requests that were passed on late in a stop and cut at its end.
+    def test_requests_late_in_stop_are_answered(self):
+        site = self.start([route("once", "unsafe", "once", 1, STOP_TIMEOUT_MS)], {"graceS": GRACE_SECONDS})
+        stopped_at, answers = site.run(stop_with_late_requests(site))
+        self.assertEqual(site.process.wait(GRACE_SECONDS), 0)
+        self.assertLess(time.monotonic() - stopped_at, GRACE_SECONDS)
+        for name, answer_ in answers.items():
+            arrivals = [arrival for _, arrival in site.arrivals_of(answer_)]
+            with self.subTest(name):
+                self.assertLessEqual(len(arrivals), 1)
+                if answer_.was_refused:
+                    self.assertEqual(arrivals, [])
+                else:
+                    self.assertTrue(answer_.is_complete, answer_)
+                    self.assertIn(answer_.status, (503,) if not arrivals else (200, 504))
+            with self.subTest(name, checked="time limit"):
+                for arrival in arrivals:
+                    self.assertLess(arrival.at + arrival.time_limit, stopped_at + GRACE_SECONDS + SIGNAL_SECONDS)
+        for name in ("idle kept connection at 2 s, short work",
+                     "half a body before the stop, the rest at 2.9 s, 3 s of work"):
+            with self.subTest(name, checked="served"):
+                self.assertEqual(answers[name].status, 200)
+
 
 if __name__ == "__main__":
     unittest.main()
