Test: a response head that breaks off is no success at the gateway

The gateway answers 502 for heads that end within the status line, after it, after a field, within a field's name or value, or before the empty line; no test kept that. Other clients of the project are not covered by it.

--- a/test/test_lost_answers.py
+++ b/test/test_lost_answers.py
@@ -7,7 +7,7 @@
 
 from platform_stand_in import CONFIG_KEY, Platform
 from scripted_upstream import (
-    Caller, ScriptedUpstream, answer, break_off, closed_port, fail, later, refuse, stay_silent, stream)
+    Caller, ScriptedUpstream, answer, break_off, closed_port, cut, fail, later, refuse, stay_silent, stream)
 
 EVENT_COUNT = 5
 # A sound upstream may fall silent for a second or so and go on.
@@ -234,6 +234,34 @@
     return stopped_at, dict(zip(cases, answers))
 
 
+HEAD = b"HTTP/1.1 200 OK\r\nBergamotpaddle-Response-Seal: seal\r\n"
+CUT_HEADS = {
+    "within the status line": b"HTTP/1.1 200",
+    "after the status line": b"HTTP/1.1 200 OK\r\n",
+    "after a field": HEAD,
+    "within the name of a field": HEAD + b"Content-Len",
+    "within the value of a field": HEAD + b"Content-Length: 1",
+    "before the empty line": HEAD + b"Content-Length: 0\r\n",
+}
+
+
+def cut_routes():
+    return [route(f"{kind}-{index}", kind, f"{kind}-{index}")
+            for index in range(len(CUT_HEADS)) for kind in ("unsafe", "safe", "streaming")]
+
+
+async def all_cut_heads(site):
+    """Returns the answers to requests whose upstream breaks off within the head, by kind and place."""
+    cases = {}
+    for index, (place, head) in enumerate(CUT_HEADS.items()):
+        for kind in ("unsafe", "safe", "streaming"):
+            cases[kind, place] = f"{kind}-{index}"
+            await site.start_upstream(f"cut-{kind}-{index}", f"{kind}-{index}", cut(head))
+    await site.settle()
+    calls = [site.caller().call(f"/{name}/", 1500) for name in cases.values()]
+    return dict(zip(cases, await asyncio.gather(*calls)))
+
+
 class LostAnswers(unittest.TestCase):
     def start(self, routes, bounds=None):
         site = Site(routes, bounds)
@@ -305,6 +333,13 @@
             with self.subTest(name, checked="served"):
                 self.assertEqual(answers[name].status, 200)
 
+    def test_head_that_breaks_off_is_no_success(self):
+        site = self.start(cut_routes())
+        for (kind, place), answer_ in site.run(all_cut_heads(site)).items():
+            with self.subTest(kind=kind, place=place):
+                self.assertTrue(answer_.is_complete, answer_)
+                self.assertEqual(answer_.status, 502)
+
 
 if __name__ == "__main__":
     unittest.main()
