Test: random pauses, refusals, resets and changes beside a gateway (fails)

Twelve callers keep using open connections of a real gateway, while upstreams of two services pause 0.2 to 1.8 s, refuse, fail, break off at once, in the head or within a stream, and are killed and replaced; routes move between the services, SIGHUP arrives, and SIGTERM ends the play. Checked for each request: an answer, whole if a sound upstream had it, unless an upstream broke off or the stop was about to end; no event twice or missing; run-once requests run at one upstream at most, and 503 only for what did not run.

--- a/test/scripted_upstream.py
+++ b/test/scripted_upstream.py
@@ -53,6 +53,9 @@
         self.response_at = None
         self.ended_at = None
         self.is_finished = False
+        self.is_sound = False
+        self.has_run = True
+        self.is_broken_off = False
 
     @property
     def attempt_id(self):
@@ -130,6 +133,7 @@
 
 async def refuse(exchange):
     """Refuses the request with a proof that it did not run."""
+    exchange.arrival.has_run = False
     await exchange.respond(503, "full", f"{NOT_EXECUTED}: 1")
 
 
@@ -139,6 +143,7 @@
 
 async def break_off(exchange):
     """Resets the connection."""
+    exchange.arrival.is_broken_off = True
     exchange.writer.transport.abort()
 
 
@@ -160,11 +165,22 @@
     """Sends `data` as a response and closes the connection in order."""
 
     async def script(exchange):
+        exchange.arrival.is_broken_off = True
         await exchange.send(data)
 
     return script
 
 
+def sound(script):
+    """Plays `script`, which finishes unless the gateway closes the connection or the upstream is stopped."""
+
+    async def marked(exchange):
+        exchange.arrival.is_sound = True
+        await script(exchange)
+
+    return marked
+
+
 def closed_port():
     """Returns a socket whose port refuses connections until the socket is closed."""
     holder = socket.socket()
@@ -182,12 +198,21 @@
         self.arrivals = []
         self.address = None
         self.arrived = asyncio.Event()
+        self.server = None
+        self.open_exchanges = set()
 
     async def start(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
         return self
 
+    def kill(self):
+        """Closes the port and resets all connections, as the end of a process does."""
+        self.server.close()
+        for exchange in self.open_exchanges:
+            exchange.arrival.is_broken_off = True
+            exchange.writer.transport.abort()
+
     async def serve(self, reader, writer):
         try:
             line, fields = fields_of(await reader.readuntil(b"\r\n\r\n"))
@@ -203,7 +228,9 @@
 
     async def play(self, arrival, reader, writer):
         """Plays the script until it ends or the gateway closes the connection."""
-        script = asyncio.ensure_future(self.script(Exchange(self, arrival, writer)))
+        exchange = Exchange(self, arrival, writer)
+        self.open_exchanges.add(exchange)
+        script = asyncio.ensure_future(self.script(exchange))
         close = asyncio.ensure_future(reader.read(1))
         try:
             await asyncio.wait([script, close], return_when=asyncio.FIRST_COMPLETED)
@@ -212,6 +239,7 @@
                 arrival.is_finished = True
         finally:
             arrival.ended_at = time.monotonic()
+            self.open_exchanges.discard(exchange)
             for task in (script, close):
                 task.cancel()
             await asyncio.gather(script, close, return_exceptions=True)
@@ -230,6 +258,7 @@
         self.is_complete = False
         self.has_given_up = False
         self.was_refused = False
+        self.is_on_kept_connection = False
         self.longest_pause = 0.0
 
     @property
@@ -266,6 +295,7 @@
         """Sends a request and returns the Answer. The second half of the body is sent at the time `rest_at`."""
         answer_ = Answer(f"a{next(self.numbers):06x}")
         try:
+            answer_.is_on_kept_connection = self.writer is not None
             if self.writer is None:
                 await self.connect()
             head = [f"POST {path} HTTP/1.1", "Host: desk.example", f"{ATTEMPT_ID}: {answer_.attempt_id}",
@@ -286,7 +316,7 @@
         except asyncio.TimeoutError:
             answer_.has_given_up = True
         answer_.ended_after = time.monotonic() - answer_.began_at
-        if not answer_.is_complete:
+        if not answer_.is_complete or answer_.fields.get("connection") == "close":
             self.close()
         return answer_
 
