Test: a call leaves a second silent upstream too

A safe call at a dead upstream, a second one that is silent as well, a third that answers: the caller has its answer within 2 s.

--- a/test/test_lost_answers.py
+++ b/test/test_lost_answers.py
@@ -103,7 +103,8 @@
 def death_routes():
     routes = [route(f"{kind}-{death}", "streaming" if kind == "stream" else "safe", f"{kind}-{death}")
               for kind in ("stream", "call") for death in DEATHS]
-    return [*routes, route("stream-refused", "streaming", "stream-refused", attempts=3)]
+    return [*routes, route("stream-refused", "streaming", "stream-refused", attempts=3),
+            route("call-silent-twice", "safe", "call-silent-twice", attempts=3)]
 
 
 async def all_deaths(site):
@@ -113,13 +114,20 @@
         cases[f"stream-{death}"] = (stream(EVENT_COUNT, end={1: script}), [stream(EVENT_COUNT)])
         cases[f"call-{death}"] = (script, [answer()])
     cases["stream-refused"] = (stream(EVENT_COUNT, end={1: stay_silent}), [refuse, stream(EVENT_COUNT)])
+    cases["call-silent-twice"] = (stay_silent, [stay_silent, answer()])
     dead = [await site.start_upstream(f"dead-{name}", name, script) for name, (script, _) in cases.items()]
     await site.settle()
     calls = {name: asyncio.ensure_future(site.caller().call(f"/{name}/", TIMEOUT_MS)) for name in cases}
-    await asyncio.gather(*(upstream.arrived.wait() for upstream in dead))
-    for name, (_, others) in cases.items():
-        for index, script in enumerate(others):
-            await site.start_upstream(f"other-{index}-{name}", name, script)
+
+    async def enter_others(name, dead_upstream, scripts):
+        await dead_upstream.arrived.wait()
+        for index, script in enumerate(scripts):
+            other = await site.start_upstream(f"other-{index}-{name}", name, script)
+            if script is stay_silent:
+                await other.arrived.wait()  # So that the silent one gets the request before the next.
+
+    await asyncio.gather(*(enter_others(name, upstream, scripts)
+                           for (name, (_, scripts)), upstream in zip(cases.items(), dead)))
     return dict(zip(calls, await asyncio.gather(*calls.values())))
 
 
