--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -46,6 +46,10 @@
   std::map<ResultCode, std::uint64_t> m_requestsByCode; ///< Requests by result.
   std::uint64_t m_retries = 0; ///< After a send that reached an upstream.
   std::uint64_t m_streamsResumed = 0;
+  /// Sends to a second upstream beside a silent one, by what became of them.
+  std::uint64_t m_failoversReplaced = 0; ///< The second upstream took over.
+  std::uint64_t m_failoversKept = 0;     ///< The silent upstream continued.
+  std::uint64_t m_failoversFailed = 0;   ///< The second upstream failed.
   /// Requests that were not sent since a part of their prompt is quarantined.
   std::uint64_t m_quarantineRefusals = 0;
   std::uint64_t m_invalidResponses = 0; ///< Of upstreams; not forwarded.
@@ -69,17 +73,23 @@
   /// 1 ms. Afterwards the request, of which nothing was sent yet, is sent to
   /// another upstream.
   Duration m_connectTimeout = std::chrono::milliseconds(250);
-  /// A repeatable call without a stream is sent to another upstream, if one can
-  /// take it, when its response has not arrived within the greater of this time
-  /// and its latency objective multiplied by `m_responseTimeoutFactor`.
+  /// A repeatable call without a stream is sent to another upstream as well, if
+  /// one can take it, when its response has not arrived within the greater of
+  /// this time and its latency objective multiplied by
+  /// `m_responseTimeoutFactor`.
   Duration m_minResponseTimeout = std::chrono::milliseconds(400);
   double m_responseTimeoutFactor = 2;
   /// Pause in a resumable stream after which it is resumed at another upstream,
   /// if one can take it.
   /// Below the two seconds after which callers disconnect.
   Duration m_streamIdleTimeout = std::chrono::milliseconds(1200);
-  /// Interval at which a request whose upstream is silent checks whether it can
-  /// move: short compared with the time that callers wait after a pause.
+  /// How long a silent upstream keeps a stream that was sent to another one as
+  /// well. The users' rules allow that both work on it for 400 ms; the rest is
+  /// for the resolution of timeouts.
+  Duration m_maxStreamOverlap = std::chrono::milliseconds(350);
+  /// Interval at which a request whose upstream is silent checks whether
+  /// another one can take it: short compared with the time that callers wait
+  /// after a pause.
   Duration m_failoverCheckInterval = std::chrono::milliseconds(100);
   /// Shortest pause in a stream after which callers disconnect.
   Duration m_minCallerStreamTimeout = std::chrono::milliseconds(2000);
--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -4,8 +4,7 @@
 #pragma once
 
 #include "bergamotpaddle/Forwarding/CallerConnection.h"
-#include "bergamotpaddle/Forwarding/UpstreamExchange.h"
-#include "bergamotpaddle/Gateway/EventSplitter.h"
+#include "bergamotpaddle/Forwarding/UpstreamAttempt.h"
 #include "bergamotpaddle/Gateway/RequestProgress.h"
 
 namespace bergamotpaddle {
@@ -27,23 +26,13 @@
   /// Returns when the response was sent or the caller has disconnected.
   Awaitable<void> Serve();
 
-  /// Aborts the exchange if a deadline or a timeout has passed and no bytes
-  /// have arrived. \p aStall, a time during which the event loop was blocked,
-  /// extends the timeout but not the deadline.
+  /// Ends the attempts if the deadline has passed, and sends the request to
+  /// another upstream as well if a timeout has, unless bytes have arrived.
+  /// \p aStall, a time during which the event loop was blocked, extends the
+  /// timeout but not the deadline.
   void Tick(Instant aNow, Duration aStall);
 
 private:
-  /// Result of an exchange with an upstream.
-  enum class ExchangeResult
-  {
-    kNeverSent,
-    kNotRun,     ///< The upstream proved that it did not run the request.
-    kFailed,     ///< A complete error response, kept in m_failedResponse.
-    kDelivered,  ///< The caller was sent the complete response.
-    kIncomplete, ///< No complete response; the request may have run.
-    kCallerDisconnected,
-  };
-
   /// Determines route, account, service and deadline. Returns the response if
   /// the request is rejected.
   std::optional<LocalResponse> Admit();
@@ -58,8 +47,6 @@
   /// Whether the request must not be sent since a part of its prompt was
   /// quarantined after its admission.
   bool IsPromptQuarantined();
-  /// Records that the response of the exchange in flight began.
-  void NoteResponseBegun();
   /// Allots credit for a prepaid request, after the next draw if necessary.
   /// Returns the response if the request is rejected.
   Awaitable<std::optional<LocalResponse>> AllotCredit();
@@ -68,38 +55,55 @@
   Awaitable<AllotResult> AwaitCredit(std::uint64_t aMaxTokens);
   Awaitable<void> Forward();
   PlacementRequest MakePlacementRequest(Instant aNow) const;
-  /// Uses the reserved upstream or chooses the next one; false if there is
-  /// none, with the reason in m_code and m_errorMessage.
-  bool ChooseUpstream();
-  /// Whether to send the request to another upstream after \p aResult.
-  bool ShouldRetry(ExchangeResult aResult);
-  Awaitable<ExchangeResult> RunExchange();
-  Awaitable<ExchangeResult> ReadResponse(bool aIsHeadRequest);
-  /// Buffers the complete response, then sends it to the caller unless it
-  /// reports a server error.
-  Awaitable<ExchangeResult> CollectResponse(const UpstreamResponse& aResponse);
-  /// Forwards events as they arrive; events that the caller already has are
-  /// skipped.
-  Awaitable<ExchangeResult> ForwardStream(const UpstreamResponse& aResponse);
-  /// Records that bytes arrived from the upstream.
-  void NoteUpstreamHeard();
-  Awaitable<void> FinishRequest(ExchangeResult aResult);
+  /// Chooses the next upstream; nullopt if there is none, with the reason in
+  /// m_code and m_errorMessage.
+  std::optional<PlacementChoice> ChooseUpstream();
+  /// Whether to send the request to another upstream after a failure.
+  bool ShouldRetry();
+  /// Creates an attempt at the upstream of \p aChoice, which is known.
+  std::shared_ptr<UpstreamAttempt> MakeAttempt(
+    const PlacementChoice& aChoice,
+    std::optional<Instant> aRetryConsumedAt);
+  /// Makes \p aAttempt the one in use; the one before has ended.
+  void Use(std::shared_ptr<UpstreamAttempt> aAttempt);
+  /// Awaits the answer of m_attempt, or of the attempt that takes over from it,
+  /// and delivers it; false if all have failed or the caller has disconnected.
+  Awaitable<bool> DeliverAnswer();
+  Awaitable<void> DeliverEvents();
+  Awaitable<void> DeliverStreamEnd();
+  Awaitable<void> DeliverResponse();
+  /// Records that an upstream was heard: the silence of m_attempt is over.
+  void NoteHeard(const UpstreamAttempt& aAttempt);
+  /// Sends the request to another upstream as well, if one can take it.
+  void StartStandby(Instant aNow);
+  /// What the standby attempt has, or how it failed, takes effect.
+  void NoteStandbyStep(AttemptStep aStep);
+  /// Continues with the standby attempt in place of m_attempt, which has ended.
+  void AdoptStandby();
+  /// Gives the standby attempt up, if there is one: m_attempt has an answer.
+  void DropStandby();
+  /// Records how an attempt ended.
+  void EndAttempt(const std::shared_ptr<UpstreamAttempt>& aAttempt,
+                  AttemptStep aStep);
+  /// Logs a failed attempt, and records a crash that it may be due to.
+  void NoteFailure(const UpstreamAttempt& aAttempt, AttemptStep aStep);
+  void LogFailover(const UpstreamAttempt& aStandby, std::string_view aResult);
+  /// Ends all attempts; no hook is called any more.
+  void ReleaseAttempts();
+  Awaitable<void> FinishRequest(bool aIsDelivered);
   Awaitable<void> RespondLocally(LocalResponse aResponse);
-  std::string UpstreamHead() const;
-  /// Whether the response names an attempt, but not this one.
-  bool IsForOtherAttempt(const UpstreamResponse& aResponse) const;
-  bool IsInvalidResponse(const UpstreamResponse& aResponse) const;
-  void NoteExchange(ExchangeResult aResult);
-  /// Adds to \p aLine why the latest exchange ended, how long the upstream had
-  /// been silent, what the caller had received, and what was left for a retry.
-  void AppendExchangeState(LogLine& aLine) const;
-  void ArmIdleTimeout(Duration aTimeout);
-  /// Time after which the request is sent to another upstream if no response
-  /// has arrived; nullopt if it must not be repeated.
+  std::string UpstreamHead(const UpstreamId& aUpstream) const;
+  /// Adds to \p aLine why \p aAttempt ended, how long its upstream had been
+  /// silent, what the caller had received, and what was left for a retry.
+  void AppendAttemptState(LogLine& aLine,
+                          const UpstreamAttempt& aAttempt) const;
+  /// Lets the response timeout, if there is one, run from \p aSince.
+  void ArmIdleTimeout(Instant aSince);
+  /// Time after which the request is sent to another upstream as well if no
+  /// response has arrived; nullopt if it must not be repeated.
   std::optional<Duration> ResponseTimeout() const;
-  /// Reserves a retry at another upstream, which replaces the exchange in
-  /// flight; false if the request has to stay where it is for now.
-  bool ReserveFailover(Instant aNow);
+  /// Whether a stream has been at two upstreams for as long as it may.
+  bool IsOverlapOver(Instant aNow) const;
   /// Charges the tokens used and releases the rest of the allotted ones.
   void SettleCredit();
   void LogEnd() const;
@@ -128,32 +132,23 @@
   Duration m_creditWaitTime{ 0 };
   std::uint64_t m_eventsDelivered = 0;
   bool m_mayHaveRun = false;
-  bool m_isPromptTrial = false;           ///< Sent despite a quarantined part.
-  bool m_hasResponseBegun = false;        ///< In the exchange in flight.
-  std::int64_t m_upstreamStartedAtMs = 0; ///< Start of the chosen upstream.
+  bool m_isPromptTrial = false; ///< Sent despite a quarantined part.
   bool m_isCallerDisconnected = false;
   bool m_isStreamBegun = false;
   std::string m_lastEventId;
-  PlacementChoice m_choice;
-  /// The upstream of the next exchange; its retry is consumed already.
-  std::optional<PlacementChoice> m_reservedChoice;
-  bool m_isRequestSent = false; ///< In the latest exchange, at least in part.
+  std::shared_ptr<UpstreamAttempt> m_attempt;
+  /// At another upstream, while that of m_attempt is silent.
+  std::shared_ptr<UpstreamAttempt> m_standby;
+  /// The latest attempt that ended with a complete error response.
+  std::shared_ptr<UpstreamAttempt> m_failedAttempt;
   /// Whether the current silence was recorded as a failure of the upstream.
   bool m_isSilenceNoted = false;
-  std::string m_upstreamAddress;
-  std::shared_ptr<UpstreamExchange> m_exchange;
-  UpstreamResponse m_failedResponse; ///< The latest complete error response.
-  std::string m_failedResponseBody;
-  std::uint64_t m_countedResponseBytes =
-    0; ///< Counted in m_bufferedResponseBytes.
-  bool m_hasFailedResponse = false;
   // For the log.
   ResultCode m_code = ResultCode::kInternal;
   int m_status = 0;
   std::string m_errorMessage;
   std::string_view m_firstFailure; ///< Why the first exchange that failed did.
   std::optional<Duration> m_timeToFirstByte;
-  Instant m_upstreamHeardAt{}; ///< Start of the exchange, or bytes since.
   std::optional<Instant> m_lastEventAt;
   Duration m_longestPause{ 0 };
 };
--- a/include/bergamotpaddle/Forwarding/UpstreamExchange.h
+++ b/include/bergamotpaddle/Forwarding/UpstreamExchange.h
@@ -24,6 +24,7 @@
   kCallerDisconnected,
   kDeadline,
   kIdleTimeout, ///< Connecting or waiting for data took too long.
+  kReplaced,    ///< Another exchange of the request answers it.
 };
 
 /// Names \p aReason for the log; without an abort the upstream ended the
--- a/include/bergamotpaddle/Gateway/Failover.h
+++ b/include/bergamotpaddle/Gateway/Failover.h
@@ -1,11 +1,12 @@
 /// \file
-/// Decides whether a request moves from a silent upstream to another one.
+/// Decides whether a request whose upstream is silent is sent to another one as
+/// well.
 ///
 /// Load pattern handled here: upstreams pause for a second while the retry
-/// budget is used up, as when all routers adopt a configuration at once. A
-/// request that is given up then is lost, although its upstream would have gone
-/// on. A request therefore stays where it is unless the move is certain to
-/// succeed now.
+/// budget is used up and others refuse work, as when all routers adopt a
+/// configuration at once. A request that is given up then is lost, although its
+/// upstream would have gone on. A request therefore stays where it is until
+/// another upstream answers it.
 #pragma once
 
 #include "bergamotpaddle/Gateway/Placement.h"
@@ -14,7 +15,7 @@
 
 namespace bergamotpaddle {
 
-/// The result: the reserved upstream, or what the move lacks.
+/// The result: the reserved upstream, or what the failover lacks.
 struct FailoverResult
 {
   enum class Verdict
@@ -33,7 +34,7 @@
 std::string_view
 Describe(FailoverResult::Verdict aVerdict);
 
-/// Reserves moves of requests in flight. Performs no I/O.
+/// Reserves second upstreams for requests in flight. Performs no I/O.
 class Failover
 {
 public:
@@ -42,8 +43,8 @@
            RetryBudget& aRetries);
 
   /// Consumes a retry and returns the upstream for it if the request, whose
-  /// send in flight may have reached its upstream, can be sent to another one
-  /// with at least \p aMinTimeLeft left. Changes nothing otherwise.
+  /// only send in flight may have reached its upstream, can be sent to another
+  /// one with at least \p aMinTimeLeft left. Changes nothing otherwise.
   FailoverResult Reserve(const RequestProgress& aProgress,
                          const PlacementRequest& aRequest,
                          Duration aMinTimeLeft,
--- a/include/bergamotpaddle/Gateway/RequestProgress.h
+++ b/include/bergamotpaddle/Gateway/RequestProgress.h
@@ -26,25 +26,25 @@
 
   /// Records that a send to \p aUpstream starts.
   void NoteSending(const UpstreamId& aUpstream);
-  /// Records how the send in flight ended.
+  /// Records how a send in flight ended.
   void NoteOutcome(SendOutcome aOutcome);
 
   /// Whether the request may be sent to another upstream.
   bool MaySendAgain() const;
-  /// Whether the request may be sent to another upstream if the send in flight,
-  /// which may have reached its upstream, is abandoned.
-  bool MayAbandonSend() const;
+  /// Whether the request may be sent to another upstream beside the only send
+  /// in flight, which may have reached its upstream.
+  bool MaySendBeside() const;
   /// Whether it is certain that the request hasn't run and won't run.
   bool IsProvedNotRun() const
   {
-    return !m_isInFlight && m_mayHaveRunCount == 0;
+    return m_inFlight == 0 && m_mayHaveRunCount == 0;
   }
   /// Whether a further send would repeat one that may have reached an upstream.
   bool WouldRepeat() const { return m_arrivals > 0; }
 
   /// Number of ended sends that may have reached an upstream.
   int Arrivals() const { return m_arrivals; }
-  /// The upstreams of all sends, including the one in flight.
+  /// The upstreams of all sends, including those in flight.
   const std::set<UpstreamId>& Tried() const { return m_tried; }
 
 private:
@@ -57,7 +57,7 @@
   int m_sends = 0;
   int m_arrivals = 0;
   int m_mayHaveRunCount = 0;
-  bool m_isInFlight = false;
+  int m_inFlight = 0;
   std::set<UpstreamId> m_tried;
 };
 
--- a/include/bergamotpaddle/Gateway/RetryBudget.h
+++ b/include/bergamotpaddle/Gateway/RetryBudget.h
@@ -38,6 +38,8 @@
   bool HasRetry(const ServiceId& aService, Instant aNow);
   /// Consumes one retry; returns false if none is left in the window.
   bool Consume(const ServiceId& aService, Instant aNow);
+  /// Returns the retry that was consumed at \p aConsumedAt and not used.
+  void Release(const ServiceId& aService, Instant aConsumedAt);
 
 private:
   /// Times of the requests and retries in the window, the oldest first.
--- a/lib/Forwarding/GatewayMetrics.cpp
+++ b/lib/Forwarding/GatewayMetrics.cpp
@@ -56,6 +56,17 @@
                "counter",
                "Streams that went on at another upstream.",
                counters.m_streamsResumed);
+  text.Family("bergamotpaddle_failovers_total",
+              "counter",
+              "Sends to another upstream beside a silent one, by result.");
+  const std::array<std::pair<const char*, std::uint64_t>, 3> failovers = {
+    std::pair("replaced", counters.m_failoversReplaced),
+    std::pair("kept", counters.m_failoversKept),
+    std::pair("failed", counters.m_failoversFailed)
+  };
+  for (const auto& [result, count] : failovers) {
+    text.Sample(static_cast<double>(count), { { "result", result } });
+  }
   appendSingle("bergamotpaddle_answers_spoiled_total",
                "counter",
                "Upstreams' answers that were not passed on.",
--- a/lib/Forwarding/RequestAdmission.cpp
+++ b/lib/Forwarding/RequestAdmission.cpp
@@ -143,16 +143,6 @@
   return true;
 }
 
-void
-RequestRun::NoteResponseBegun()
-{
-  if (std::exchange(m_hasResponseBegun, true)) {
-    return;
-  }
-  m_state->m_quarantine.NoteBegun(m_request.m_parts, m_state->Now());
-  m_state->LogQuarantineChanges();
-}
-
 RequestRun::Awaitable<std::optional<LocalResponse>>
 RequestRun::AllotCredit()
 {
--- a/lib/Forwarding/RequestLog.cpp
+++ b/lib/Forwarding/RequestLog.cpp
@@ -7,11 +7,9 @@
 namespace bergamotpaddle {
 
 void
-RequestRun::AppendExchangeState(LogLine& aLine) const
+RequestRun::AppendAttemptState(LogLine& aLine,
+                               const UpstreamAttempt& aAttempt) const
 {
-  if (!m_exchange) {
-    return;
-  }
   const Instant now = m_state->Now();
   const std::vector<const UpstreamState*> usable =
     m_state->m_upstreams.Usable(m_service);
@@ -19,14 +17,31 @@
     std::any_of(usable.begin(), usable.end(), [this](const auto* aState) {
       return !m_progress->Tried().contains(aState->m_entry.m_id);
     });
-  aLine.Text("cause", Describe(m_exchange->GetAbortReason()))
-    .Milliseconds("silent_ms", now - m_upstreamHeardAt)
+  aLine.Text("cause", Describe(aAttempt.Exchange().GetAbortReason()))
+    .Milliseconds("silent_ms", now - aAttempt.HeardAt())
     .Number("events", static_cast<std::int64_t>(m_eventsDelivered))
     .Flag("attempt_left", m_progress->MaySendAgain())
     .Flag("retry_left", m_state->m_retries.HasRetry(m_service, now))
     .Flag("upstream_left", hasOtherUpstream);
 }
 
+void
+RequestRun::LogFailover(const UpstreamAttempt& aStandby,
+                        std::string_view aResult)
+{
+  const Instant now = m_state->Now();
+  LogLine line("exchange.failover");
+  line.Text("request", m_request.m_attemptId)
+    .Text("result", aResult)
+    .Text("from", m_attempt->Upstream().Str())
+    .Text("to", aStandby.Upstream().Str())
+    .Milliseconds("silent_ms", now - m_attempt->HeardAt());
+  if (const std::optional<Instant> sentAt = aStandby.SentAt()) {
+    line.Milliseconds("overlap_ms", now - *sentAt);
+  }
+  m_state->Log(line);
+}
+
 void
 RequestRun::LogEnd() const
 {
@@ -43,11 +58,12 @@
     line.Milliseconds("first_ms", *m_timeToFirstByte)
       .Milliseconds("pause_ms", m_longestPause);
   }
-  if (m_progress && !m_progress->Tried().empty()) {
-    line.Text("upstream", m_choice.m_upstream.Str())
-      .Number("unread", m_choice.m_uncachedTokens)
-      .Number("beside", m_choice.m_requests)
-      .Milliseconds("expected_ms", m_choice.m_expected)
+  if (m_attempt) {
+    const PlacementChoice& choice = m_attempt->Choice();
+    line.Text("upstream", choice.m_upstream.Str())
+      .Number("unread", choice.m_uncachedTokens)
+      .Number("beside", choice.m_requests)
+      .Milliseconds("expected_ms", choice.m_expected)
       .Number("sends", static_cast<std::int64_t>(m_progress->Tried().size()))
       .Number("events", static_cast<std::int64_t>(m_eventsDelivered));
   }
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -9,17 +9,9 @@
 namespace {
 
 constexpr int kFirstServerError = 500;
-constexpr int kOkBegin = 200;
-constexpr int kOkEnd = 300;
 /// Parts of a prompt in a log line.
 constexpr std::size_t kMaxLoggedParts = 8;
 
-bool
-IsSuccess(int aStatus)
-{
-  return aStatus >= kOkBegin && aStatus < kOkEnd;
-}
-
 /// The first IDs of \p aParts as hexadecimal numbers.
 std::string
 JoinPartIds(const std::vector<PromptPart>& aParts)
@@ -48,7 +40,7 @@
 
 RequestRun::~RequestRun()
 {
-  m_state->m_bufferedResponseBytes -= m_countedResponseBytes;
+  ReleaseAttempts();
   --m_state->m_requestsInFlight;
 }
 
@@ -72,8 +64,10 @@
   } else {
     m_caller->WatchForDisconnect([this] {
       m_isCallerDisconnected = true;
-      if (m_exchange) {
-        m_exchange->Abort(AbortReason::kCallerDisconnected);
+      for (const auto& attempt : { m_attempt, m_standby }) {
+        if (attempt) {
+          attempt->Abort(AbortReason::kCallerDisconnected);
+        }
       }
     });
     co_await Forward();
@@ -88,15 +82,20 @@
 RequestRun::Awaitable<void>
 RequestRun::Forward()
 {
-  ExchangeResult exchangeResult = ExchangeResult::kNeverSent;
+  bool isDelivered = false;
   do {
-    if (IsPromptQuarantined() || !ChooseUpstream()) {
+    if (IsPromptQuarantined()) {
       break;
     }
-    exchangeResult = co_await RunExchange();
-    NoteExchange(exchangeResult);
-  } while (ShouldRetry(exchangeResult));
-  co_await FinishRequest(exchangeResult);
+    const std::optional<PlacementChoice> choice = ChooseUpstream();
+    if (!choice) {
+      break;
+    }
+    m_isSilenceNoted = false;
+    Use(MakeAttempt(*choice, std::nullopt));
+    isDelivered = co_await DeliverAnswer();
+  } while (!isDelivered && ShouldRetry());
+  co_await FinishRequest(isDelivered);
 }
 
 PlacementRequest
@@ -114,93 +113,164 @@
   return request;
 }
 
-bool
+std::optional<PlacementChoice>
 RequestRun::ChooseUpstream()
 {
-  if (const auto reserved = std::exchange(m_reservedChoice, std::nullopt)) {
-    const UpstreamState* state =
-      m_state->m_upstreams.Find(reserved->m_upstream);
-    if (state != nullptr && !state->m_entry.m_isDraining) {
-      m_choice = *reserved;
-      m_upstreamAddress = state->m_entry.m_address;
-      m_upstreamStartedAtMs = state->m_entry.m_startedAtMs;
-      return true;
-    }
-  }
   const Instant now = m_state->Now();
   PlacementResult result = m_state->m_placement.Choose(
     m_state->m_upstreams, MakePlacementRequest(now), now);
   if (result.m_verdict == PlacementResult::Verdict::kPlaced) {
-    m_choice = result.m_choice;
-    const UpstreamState* state = m_state->m_upstreams.Find(m_choice.m_upstream);
-    m_upstreamAddress = state->m_entry.m_address;
-    m_upstreamStartedAtMs = state->m_entry.m_startedAtMs;
-    return true;
+    return std::move(result.m_choice);
   }
   const bool isOverloaded =
     result.m_verdict == PlacementResult::Verdict::kOverloaded;
   m_code = isOverloaded ? ResultCode::kOverloaded : ResultCode::kNoUpstream;
   m_errorMessage = isOverloaded ? "every upstream would answer too late"
                                 : "no upstream takes work now";
-  return false;
+  return std::nullopt;
 }
 
-RequestRun::Awaitable<RequestRun::ExchangeResult>
-RequestRun::RunExchange()
+std::shared_ptr<UpstreamAttempt>
+RequestRun::MakeAttempt(const PlacementChoice& aChoice,
+                        std::optional<Instant> aRetryConsumedAt)
 {
-  const Instant startedAt = m_state->Now();
-  NoteUpstreamHeard();
-  m_isRequestSent = false;
-  m_progress->NoteSending(m_choice.m_upstream);
-  m_hasResponseBegun = false;
-  m_exchange = std::make_shared<UpstreamExchange>(m_executor);
-  if (m_isCallerDisconnected) {
-    co_return ExchangeResult::kCallerDisconnected;
-  }
-  const bool isLightStream =
-    m_route->m_kind == CallKind::kStream && m_choice.m_isLight;
-  m_state->m_upstreams.NoteSent(m_choice.m_upstream,
-                                isLightStream,
-                                m_choice.m_prefill,
-                                m_request.m_parts,
-                                startedAt);
-  m_state->m_onLoadChanged(m_choice.m_upstream, m_request.m_parts);
-  const Duration connectTimeout = m_state->m_adaptiveConnectTimeout.TimeoutFor(
-    m_state->m_options.m_connectTimeout);
-  ArmIdleTimeout(connectTimeout);
-  ExchangeResult exchangeResult = ExchangeResult::kNeverSent;
-  if (co_await m_exchange->Connect(m_upstreamAddress)) {
-    const Duration connectTime = m_state->Now() - startedAt;
-    m_state->m_counters.m_connectTime.Record(connectTime);
-    m_state->m_adaptiveConnectTimeout.NoteConnected(connectTime);
-    m_idleDeadline.reset();
-    if (const std::optional<Duration> idleTimeout = ResponseTimeout()) {
-      ArmIdleTimeout(*idleTimeout);
+  const UpstreamState* state = m_state->m_upstreams.Find(aChoice.m_upstream);
+  AttemptRequest request;
+  request.m_choice = aChoice;
+  request.m_address = state->m_entry.m_address;
+  request.m_startedAtMs = state->m_entry.m_startedAtMs;
+  request.m_attemptId = m_request.m_attemptId;
+  request.m_parts = m_request.m_parts;
+  request.m_body = m_body;
+  request.m_isStream = m_route->m_kind == CallKind::kStream;
+  request.m_isHeadRequest = m_method == "HEAD";
+  request.m_isResumed = m_isStreamBegun;
+  if (m_isStreamBegun) {
+    request.m_resumeAfterId = ParseNumber<std::uint64_t>(m_lastEventId);
+  }
+  request.m_retryConsumedAt = aRetryConsumedAt;
+  m_progress->NoteSending(aChoice.m_upstream);
+  const bool isRetry = aRetryConsumedAt.has_value();
+  return std::make_shared<UpstreamAttempt>(
+    *m_state,
+    m_executor,
+    std::move(request),
+    [this, isRetry](const UpstreamAttempt& aAttempt) {
+      m_state->m_counters.m_retries += isRetry ? 1 : 0;
+      if (&aAttempt == m_attempt.get()) {
+        ArmIdleTimeout(m_state->Now());
+      }
+      return UpstreamHead(aAttempt.Upstream());
+    },
+    [this](const UpstreamAttempt& aAttempt) { NoteHeard(aAttempt); });
+}
+
+void
+RequestRun::Use(std::shared_ptr<UpstreamAttempt> aAttempt)
+{
+  if (m_attempt && m_attempt != m_failedAttempt) {
+    m_attempt->ReleaseBody();
+  }
+  m_attempt = std::move(aAttempt);
+}
+
+RequestRun::Awaitable<bool>
+RequestRun::DeliverAnswer()
+{
+  while (true) {
+    const AttemptStep step = co_await m_attempt->Advance();
+    const AbortReason reason = m_attempt->Exchange().GetAbortReason();
+    const bool hasStandby =
+      m_standby && m_standby->Exchange().GetAbortReason() == AbortReason::kNone;
+    // A read may have completed before the attempt was aborted. What it
+    // returned is of use only if no other attempt has taken over.
+    const bool hasFailed =
+      IsFailure(step) || m_isCallerDisconnected ||
+      (hasStandby && (reason == AbortReason::kReplaced ||
+                      reason == AbortReason::kIdleTimeout));
+    if (hasFailed) {
+      EndAttempt(m_attempt, IsFailure(step) ? step : AttemptStep::kIncomplete);
     }
-    m_isRequestSent = true;
-    m_exchange->BeginSending(UpstreamHead(), m_body);
-    exchangeResult = co_await ReadResponse(m_method == "HEAD");
-  } else if (m_isCallerDisconnected) {
-    exchangeResult = ExchangeResult::kCallerDisconnected;
-  } else if (m_exchange->GetAbortReason() == AbortReason::kIdleTimeout) {
-    ++m_state->m_counters.m_connectTimeouts;
-    m_state->m_adaptiveConnectTimeout.NoteTimedOut(connectTimeout);
+    if (hasFailed && hasStandby) {
+      AdoptStandby();
+      continue;
+    }
+    DropStandby();
+    if (hasFailed) {
+      co_return false;
+    }
+    switch (step) {
+      case AttemptStep::kEvents:
+        co_await DeliverEvents();
+        continue;
+      case AttemptStep::kStreamEnd:
+        co_await DeliverStreamEnd();
+        break;
+      default:
+        co_await DeliverResponse();
+        break;
+    }
+    EndAttempt(m_attempt, step);
+    co_return true;
+  }
+}
+
+RequestRun::Awaitable<void>
+RequestRun::DeliverEvents()
+{
+  const std::string events = m_attempt->TakeEvents();
+  const Instant now = m_state->Now();
+  if (m_lastEventAt) {
+    m_longestPause = std::max(m_longestPause, now - *m_lastEventAt);
   }
+  m_lastEventAt = now;
+  // The time that the caller takes to read is no silence of the upstream.
   m_idleDeadline.reset();
-  m_exchange->Close();
-  m_state->m_counters.m_traffic.Record(TrafficPeer::kUpstreams,
-                                       m_exchange->Bytes().m_sent,
-                                       m_exchange->Bytes().m_received);
-  m_state->m_upstreams.NoteEnded(m_choice.m_upstream, isLightStream);
-  m_state->m_onLoadChanged(m_choice.m_upstream, {});
-  co_return exchangeResult;
+  if (!m_timeToFirstByte) {
+    m_timeToFirstByte = Elapsed();
+    m_state->m_counters.m_firstEventTime.Record(*m_timeToFirstByte);
+    m_state->m_upstreams.NoteFirstEvent(m_attempt->Upstream(), now);
+  }
+  m_eventsDelivered += m_attempt->TakenEvents();
+  m_state->m_counters.m_events += m_attempt->TakenEvents();
+  if (!m_attempt->LastEventId().empty()) {
+    m_lastEventId = m_attempt->LastEventId();
+  }
+  if (!std::exchange(m_isStreamBegun, true)) {
+    m_status = m_attempt->Response().m_status;
+    co_await m_caller->BeginStream(m_attempt->Response(), events);
+  } else {
+    co_await m_caller->SendEvents(events);
+  }
+  ArmIdleTimeout(m_state->Now());
+}
+
+RequestRun::Awaitable<void>
+RequestRun::DeliverStreamEnd()
+{
+  m_idleDeadline.reset();
+  if (!std::exchange(m_isStreamBegun, true)) {
+    m_status = m_attempt->Response().m_status;
+    const std::string noEvents;
+    co_await m_caller->BeginStream(m_attempt->Response(), noEvents);
+  }
+  co_await m_caller->EndStream();
+}
+
+RequestRun::Awaitable<void>
+RequestRun::DeliverResponse()
+{
+  m_idleDeadline.reset();
+  m_timeToFirstByte = Elapsed();
+  m_status = m_attempt->Response().m_status;
+  co_await m_caller->SendFullResponse(m_attempt->Response(), m_attempt->Body());
 }
 
 std::string
-RequestRun::UpstreamHead() const
+RequestRun::UpstreamHead(const UpstreamId& aUpstream) const
 {
   UpstreamCall call;
-  call.m_expected = m_choice.m_upstream;
+  call.m_expected = aUpstream;
   if (m_account != nullptr) {
     call.m_account = m_account->m_id;
   }
@@ -225,260 +295,181 @@
   return head;
 }
 
-bool
-RequestRun::IsForOtherAttempt(const UpstreamResponse& aResponse) const
+void
+RequestRun::NoteHeard(const UpstreamAttempt& aAttempt)
 {
-  return !aResponse.m_attemptId.empty() &&
-         aResponse.m_attemptId != m_request.m_attemptId;
+  if (&aAttempt != m_attempt.get() ||
+      aAttempt.Exchange().GetAbortReason() != AbortReason::kNone) {
+    return;
+  }
+  m_isSilenceNoted = false;
+  if (m_standby && m_route->m_kind == CallKind::kStream) {
+    DropStandby(); // Two upstreams must not work on a stream for long.
+    ArmIdleTimeout(m_state->Now());
+  }
 }
 
-bool
-RequestRun::IsInvalidResponse(const UpstreamResponse& aResponse) const
+void
+RequestRun::NoteStandbyStep(AttemptStep aStep)
 {
-  const bool isUnsigned = IsSuccess(aResponse.m_status) &&
-                          (!aResponse.m_isSealed || aResponse.m_isProvedNotRun);
-  return IsForOtherAttempt(aResponse) || isUnsigned || aResponse.m_isEncoded;
+  if (!IsFailure(aStep)) {
+    m_attempt->Abort(AbortReason::kReplaced);
+    return;
+  }
+  ++m_state->m_counters.m_failoversFailed;
+  LogFailover(*m_standby, "failed");
+  EndAttempt(m_standby, aStep);
+  m_standby.reset();
+  m_idleDeadline = m_state->Now() + m_state->m_options.m_failoverCheckInterval;
 }
 
-RequestRun::Awaitable<RequestRun::ExchangeResult>
-RequestRun::ReadResponse(bool aIsHeadRequest)
+void
+RequestRun::AdoptStandby()
 {
-  const std::optional<UpstreamExchange::Head> head =
-    co_await m_exchange->ReadHead(aIsHeadRequest);
-  if (!head) {
-    co_return m_isCallerDisconnected ? ExchangeResult::kCallerDisconnected
-                                     : ExchangeResult::kIncomplete;
-  }
-  NoteUpstreamHeard();
-  UpstreamResponse response = m_state->m_dialect.m_readResponse(
-    head->m_status, head->m_reason, head->m_fields);
-  if (response.m_load) {
-    response.m_load->m_reportedAt = m_state->Now();
-    m_state->m_upstreams.NoteReport(m_choice.m_upstream, *response.m_load);
-    m_state->m_onLoadChanged(m_choice.m_upstream, {});
-  }
-  if (response.m_isProvedNotRun && !IsSuccess(response.m_status) &&
-      !IsForOtherAttempt(response)) {
-    co_return ExchangeResult::kNotRun;
-  }
-  m_mayHaveRun = true;
-  if (IsInvalidResponse(response)) {
-    ++m_state->m_counters.m_invalidResponses;
-    m_errorMessage = "the answer is spoiled or belongs to another request";
-    co_return ExchangeResult::kIncomplete;
-  }
-  if (m_route->m_kind == CallKind::kStream && IsSuccess(response.m_status) &&
-      response.m_isEventStream) {
-    co_return co_await ForwardStream(response);
-  }
-  co_return co_await CollectResponse(response);
+  ++m_state->m_counters.m_failoversReplaced;
+  LogFailover(*m_standby, "replaced");
+  m_state->m_counters.m_streamsResumed += m_isStreamBegun ? 1 : 0;
+  Use(std::exchange(m_standby, nullptr));
+  m_attempt->ClearStepHook();
+  m_isSilenceNoted = false;
+  if (m_attempt->SentAt()) {
+    ArmIdleTimeout(m_attempt->HeardAt());
+  }
 }
 
-RequestRun::Awaitable<RequestRun::ExchangeResult>
-RequestRun::CollectResponse(const UpstreamResponse& aResponse)
+void
+RequestRun::DropStandby()
 {
-  std::string body;
-  const ForwardingOptions& options = m_state->m_options;
-  while (!m_exchange->IsComplete()) {
-    const std::string bytes = co_await m_exchange->ReadBody();
-    body += bytes;
-    if (!bytes.empty()) {
-      NoteUpstreamHeard();
-    }
-    m_countedResponseBytes += bytes.size();
-    m_state->m_bufferedResponseBytes += bytes.size();
-    if (m_isCallerDisconnected) {
-      co_return ExchangeResult::kCallerDisconnected;
-    }
-    const bool isTooLarge =
-      m_exchange->Bytes().m_received > options.m_maxResponseBytes ||
-      m_state->m_bufferedResponseBytes > options.m_maxBufferedResponseBytes;
-    if (isTooLarge || (bytes.empty() && !m_exchange->IsComplete())) {
-      m_errorMessage =
-        isTooLarge ? "the answer is too long" : "the answer broke off";
-      co_return ExchangeResult::kIncomplete;
-    }
-  }
-  m_idleDeadline.reset();
-  m_timeToFirstByte = Elapsed();
-  if (IsSuccess(aResponse.m_status)) {
-    NoteResponseBegun();
-  }
-  if (aResponse.m_status >= kFirstServerError) {
-    m_failedResponse = aResponse;
-    m_failedResponseBody = std::move(body);
-    m_hasFailedResponse = true;
-    co_return ExchangeResult::kFailed;
-  }
-  if (m_isStreamBegun) {
-    // A plain body cannot continue a stream of events.
-    co_return ExchangeResult::kIncomplete;
+  if (!m_standby) {
+    return;
   }
-  m_status = aResponse.m_status;
-  co_await m_caller->SendFullResponse(aResponse, body);
-  co_return ExchangeResult::kDelivered;
+  const auto standby = std::exchange(m_standby, nullptr);
+  const AbortReason reason = standby->Exchange().GetAbortReason();
+  if (reason == AbortReason::kNone) {
+    ++m_state->m_counters.m_failoversKept;
+    standby->Abort(AbortReason::kReplaced);
+  }
+  LogFailover(*standby,
+              reason == AbortReason::kNone ? "kept" : Describe(reason));
+  EndAttempt(standby,
+             standby->SentAt() ? AttemptStep::kIncomplete
+                               : AttemptStep::kNeverSent);
 }
 
-RequestRun::Awaitable<RequestRun::ExchangeResult>
-RequestRun::ForwardStream(const UpstreamResponse& aResponse)
+void
+RequestRun::ReleaseAttempts()
 {
-  const std::optional<std::uint64_t> resumeAfterId =
-    m_isStreamBegun ? ParseNumber<std::uint64_t>(m_lastEventId) : std::nullopt;
-  EventSplitter splitter(resumeAfterId);
-  const std::optional<Duration> idleTimeout =
-    m_route->MayRunAgain()
-      ? std::optional<Duration>(m_state->m_options.m_streamIdleTimeout)
-      : std::nullopt;
-  while (true) {
-    const std::string bytes = co_await m_exchange->ReadBody();
-    if (m_isCallerDisconnected) {
-      co_return ExchangeResult::kCallerDisconnected;
-    }
-    if (!bytes.empty()) {
-      NoteUpstreamHeard();
-    }
-    const std::string events = splitter.Consume(bytes);
-    if (splitter.PartialBytes() > m_state->m_options.m_maxEventBytes) {
-      m_errorMessage = "an event of the stream is too long";
-      co_return ExchangeResult::kIncomplete;
-    }
-    if (splitter.HasGap()) {
-      m_errorMessage = "an event of the stream is missing";
-      co_return ExchangeResult::kIncomplete;
-    }
-    if (!events.empty()) {
-      const Instant now = m_state->Now();
-      NoteResponseBegun();
-      if (m_lastEventAt) {
-        m_longestPause = std::max(m_longestPause, now - *m_lastEventAt);
-      }
-      m_lastEventAt = now;
-      // The time that the caller takes to read is no silence of the upstream.
-      m_idleDeadline.reset();
-      if (!m_timeToFirstByte) {
-        m_timeToFirstByte = Elapsed();
-        m_state->m_counters.m_firstEventTime.Record(*m_timeToFirstByte);
-        m_state->m_upstreams.NoteFirstEvent(m_choice.m_upstream,
-                                            m_state->Now());
-      }
-      m_eventsDelivered += splitter.Events();
-      m_state->m_counters.m_events += splitter.Events();
-      splitter.ResetCount();
-      if (!splitter.LastId().empty()) {
-        m_lastEventId = splitter.LastId();
-      }
-      if (!std::exchange(m_isStreamBegun, true)) {
-        m_status = aResponse.m_status;
-        co_await m_caller->BeginStream(aResponse, events);
-      } else {
-        co_await m_caller->SendEvents(events);
-      }
-      if (idleTimeout) {
-        ArmIdleTimeout(*idleTimeout);
-      }
-    }
-    if (m_exchange->IsComplete()) {
-      break;
-    }
-    if (bytes.empty()) {
-      m_errorMessage = "the stream broke off";
-      co_return ExchangeResult::kIncomplete;
+  for (const auto& attempt : { m_attempt, m_standby, m_failedAttempt }) {
+    if (attempt) {
+      attempt->Finish();
+      attempt->ReleaseBody();
     }
   }
-  if (splitter.HasPartial()) {
-    m_errorMessage = "the stream ends within an event";
-    co_return ExchangeResult::kIncomplete;
-  }
-  m_idleDeadline.reset();
-  if (!std::exchange(m_isStreamBegun, true)) {
-    m_status = aResponse.m_status;
-    const std::string noEvents;
-    co_await m_caller->BeginStream(aResponse, noEvents);
-  }
-  co_await m_caller->EndStream();
-  co_return ExchangeResult::kDelivered;
 }
 
 void
-RequestRun::NoteExchange(ExchangeResult aResult)
+RequestRun::EndAttempt(const std::shared_ptr<UpstreamAttempt>& aAttempt,
+                       AttemptStep aStep)
 {
   const Instant now = m_state->Now();
+  const AbortReason reason = aAttempt->Exchange().GetAbortReason();
+  const bool isInUse = aAttempt == m_attempt;
   SendOutcome sendOutcome = SendOutcome::kMayHaveRun;
   ExchangeOutcome health = ExchangeOutcome::kSucceeded;
-  switch (aResult) {
-    case ExchangeResult::kNeverSent:
+  switch (aStep) {
+    case AttemptStep::kNeverSent:
       sendOutcome = SendOutcome::kNeverSent;
       health = ExchangeOutcome::kUnreachable;
       break;
-    case ExchangeResult::kNotRun:
+    case AttemptStep::kNotRun:
       sendOutcome = SendOutcome::kProvedNotRun;
       health = ExchangeOutcome::kFailed;
       break;
-    case ExchangeResult::kFailed:
+    case AttemptStep::kFailed:
       health = ExchangeOutcome::kFailed;
+      if (m_failedAttempt) {
+        m_failedAttempt->ReleaseBody();
+      }
+      m_failedAttempt = aAttempt;
       break;
-    case ExchangeResult::kIncomplete:
-      health = m_exchange->GetAbortReason() == AbortReason::kDeadline
-                 ? ExchangeOutcome::kFailed
-                 : ExchangeOutcome::kUnreachable;
+    case AttemptStep::kIncomplete:
+      health = reason == AbortReason::kDeadline ? ExchangeOutcome::kFailed
+                                                : ExchangeOutcome::kUnreachable;
       break;
-    case ExchangeResult::kDelivered:
-    case ExchangeResult::kCallerDisconnected:
+    case AttemptStep::kEvents:
+    case AttemptStep::kStreamEnd:
+    case AttemptStep::kResponse:
       break;
   }
   m_mayHaveRun = m_mayHaveRun || sendOutcome == SendOutcome::kMayHaveRun;
   m_progress->NoteOutcome(sendOutcome);
+  const bool hasUpstreamFailed = health != ExchangeOutcome::kSucceeded;
+  const bool isDropped = !isInUse && reason == AbortReason::kReplaced;
   const bool isNoted =
-    m_isSilenceNoted && health != ExchangeOutcome::kSucceeded;
-  if (aResult != ExchangeResult::kCallerDisconnected && !isNoted) {
-    m_state->m_upstreams.NoteOutcome(m_choice.m_upstream, health, now);
+    isInUse ? m_isSilenceNoted && hasUpstreamFailed : isDropped;
+  if (reason != AbortReason::kCallerDisconnected && !isNoted) {
+    m_state->m_upstreams.NoteOutcome(aAttempt->Upstream(), health, now);
   }
-  const bool isCrashSuspected = aResult == ExchangeResult::kIncomplete &&
-                                m_exchange->WasEndedByUpstream() &&
-                                !m_hasResponseBegun;
-  if (isCrashSuspected) {
-    m_state->m_quarantine.NoteCrash(
-      PromptQuarantine::CrashId(m_choice.m_upstream, m_upstreamStartedAtMs),
-      m_request.m_parts,
-      now);
+  const auto& retryConsumedAt = aAttempt->Request().m_retryConsumedAt;
+  if (sendOutcome == SendOutcome::kNeverSent && retryConsumedAt) {
+    m_state->m_retries.Release(m_service, *retryConsumedAt);
   }
-  if (health != ExchangeOutcome::kSucceeded) {
-    if (m_firstFailure.empty()) {
-      m_firstFailure = Describe(m_exchange->GetAbortReason());
+  if (isInUse) {
+    m_idleDeadline.reset();
+  }
+  if (hasUpstreamFailed && !isDropped &&
+      reason != AbortReason::kCallerDisconnected) {
+    if (!aAttempt->ErrorMessage().empty()) {
+      m_errorMessage = aAttempt->ErrorMessage();
     }
-    LogLine line("exchange.failed");
-    line.Text("request", m_request.m_attemptId)
-      .Text("upstream", m_choice.m_upstream.Str())
-      .Number("end", static_cast<int>(aResult))
-      .Number("aborted", static_cast<int>(m_exchange->GetAbortReason()))
-      .Text("why", m_errorMessage)
-      .Text("error", m_exchange->Error())
-      .Flag("begun", m_hasResponseBegun)
-      .Text("parts", isCrashSuspected ? JoinPartIds(m_request.m_parts) : "")
-      .Milliseconds("after_ms", Elapsed());
-    AppendExchangeState(line);
-    m_state->Log(line);
+    NoteFailure(*aAttempt, aStep);
   }
+  aAttempt->Finish();
+}
+
+void
+RequestRun::NoteFailure(const UpstreamAttempt& aAttempt, AttemptStep aStep)
+{
+  const bool isCrashSuspected = aStep == AttemptStep::kIncomplete &&
+                                aAttempt.Exchange().WasEndedByUpstream() &&
+                                !aAttempt.HasBegun();
+  if (isCrashSuspected) {
+    m_state->m_quarantine.NoteCrash(
+      PromptQuarantine::CrashId(aAttempt.Upstream(),
+                                aAttempt.Request().m_startedAtMs),
+      m_request.m_parts,
+      m_state->Now());
+  }
+  if (m_firstFailure.empty()) {
+    m_firstFailure = Describe(aAttempt.Exchange().GetAbortReason());
+  }
+  LogLine line("exchange.failed");
+  line.Text("request", m_request.m_attemptId)
+    .Text("upstream", aAttempt.Upstream().Str())
+    .Text("end", Describe(aStep))
+    .Text("why", aAttempt.ErrorMessage())
+    .Text("error", aAttempt.Exchange().Error())
+    .Flag("begun", aAttempt.HasBegun())
+    .Text("parts", isCrashSuspected ? JoinPartIds(m_request.m_parts) : "")
+    .Milliseconds("after_ms", Elapsed());
+  AppendAttemptState(line, aAttempt);
+  m_state->Log(line);
 }
 
 bool
-RequestRun::ShouldRetry(ExchangeResult aResult)
+RequestRun::ShouldRetry()
 {
-  if (aResult == ExchangeResult::kDelivered ||
-      aResult == ExchangeResult::kCallerDisconnected ||
-      m_isCallerDisconnected || !m_progress->MaySendAgain()) {
+  if (m_isCallerDisconnected || !m_progress->MaySendAgain()) {
     return false;
   }
-  if (!m_reservedChoice) {
-    const Instant now = m_state->Now();
-    if (m_deadline - now < m_state->m_options.m_minTimeLeft) {
-      return false;
-    }
-    if (m_progress->WouldRepeat() &&
-        !m_state->m_retries.Consume(m_service, now)) {
-      m_errorMessage = "the retry budget is used up";
-      return false;
-    }
+  const Instant now = m_state->Now();
+  if (m_deadline - now < m_state->m_options.m_minTimeLeft) {
+    return false;
+  }
+  if (m_progress->WouldRepeat() &&
+      !m_state->m_retries.Consume(m_service, now)) {
+    m_errorMessage = "the retry budget is used up";
+    return false;
   }
   m_state->m_counters.m_retries += m_progress->WouldRepeat() ? 1 : 0;
   m_state->m_counters.m_streamsResumed += m_isStreamBegun ? 1 : 0;
@@ -486,9 +477,9 @@
 }
 
 RequestRun::Awaitable<void>
-RequestRun::FinishRequest(ExchangeResult aResult)
+RequestRun::FinishRequest(bool aIsDelivered)
 {
-  if (aResult == ExchangeResult::kDelivered) {
+  if (aIsDelivered) {
     m_code = m_status >= kFirstServerError ? ResultCode::kUpstreamFailed
                                            : ResultCode::kOk;
     co_return;
@@ -500,16 +491,19 @@
                                     : ResultCode::kUpstreamFailed;
     LogLine line("caller.closed");
     line.Text("request", m_request.m_attemptId);
-    AppendExchangeState(line);
+    if (m_attempt) {
+      AppendAttemptState(line, *m_attempt);
+    }
     line.Text("first_cause", m_firstFailure);
     m_state->Log(line);
     m_caller->Close();
     co_return;
   }
-  if (m_hasFailedResponse) {
+  if (m_failedAttempt) {
     m_code = ResultCode::kUpstreamFailed;
-    m_status = m_failedResponse.m_status;
-    co_await m_caller->SendFullResponse(m_failedResponse, m_failedResponseBody);
+    m_status = m_failedAttempt->Response().m_status;
+    co_await m_caller->SendFullResponse(m_failedAttempt->Response(),
+                                        m_failedAttempt->Body());
     co_return;
   }
   const bool isDeadlinePassed = m_state->Now() >= m_deadline;
--- a/lib/Forwarding/RequestTimeouts.cpp
+++ b/lib/Forwarding/RequestTimeouts.cpp
@@ -32,23 +32,25 @@
 }
 
 void
-RequestRun::ArmIdleTimeout(Duration aTimeout)
+RequestRun::ArmIdleTimeout(Instant aSince)
 {
-  m_idleDeadline = m_state->Now() + aTimeout;
+  if (const std::optional<Duration> timeout = ResponseTimeout()) {
+    m_idleDeadline = aSince + *timeout;
+  }
 }
 
 void
-RequestRun::NoteUpstreamHeard()
-{
-  m_upstreamHeardAt = m_state->Now();
-  m_isSilenceNoted = false;
-}
-
-bool
-RequestRun::ReserveFailover(Instant aNow)
+RequestRun::StartStandby(Instant aNow)
 {
+  const bool isNewSilence = !std::exchange(m_isSilenceNoted, true);
+  if (isNewSilence) {
+    // The request stays, but later ones should avoid the silent upstream.
+    m_state->m_upstreams.NoteOutcome(
+      m_attempt->Upstream(), ExchangeOutcome::kUnreachable, aNow);
+  }
+  m_idleDeadline = aNow + m_state->m_options.m_failoverCheckInterval;
   if (m_state->m_quarantine.RefusedFor(m_request.m_parts, aNow)) {
-    return false; // No upstream may get the request any more.
+    return; // No upstream may get the request any more.
   }
   Failover failover(
     m_state->m_upstreams, m_state->m_placement, m_state->m_retries);
@@ -57,29 +59,41 @@
                      MakePlacementRequest(aNow),
                      m_state->m_options.m_minTimeLeft,
                      aNow);
-  if (result.m_verdict == FailoverResult::Verdict::kReserved) {
-    m_reservedChoice = result.m_choice;
-    return true;
-  }
-  if (!std::exchange(m_isSilenceNoted, true)) {
-    // The request stays, but later ones should avoid the silent upstream.
-    m_state->m_upstreams.NoteOutcome(
-      m_choice.m_upstream, ExchangeOutcome::kUnreachable, aNow);
-    m_state->Log(LogLine("exchange.silent")
-                   .Text("request", m_request.m_attemptId)
-                   .Text("upstream", m_choice.m_upstream.Str())
-                   .Text("lacks", Describe(result.m_verdict))
-                   .Milliseconds("silent_ms", aNow - m_upstreamHeardAt));
+  if (result.m_verdict != FailoverResult::Verdict::kReserved) {
+    if (isNewSilence) {
+      m_state->Log(LogLine("exchange.silent")
+                     .Text("request", m_request.m_attemptId)
+                     .Text("upstream", m_attempt->Upstream().Str())
+                     .Text("lacks", Describe(result.m_verdict))
+                     .Milliseconds("silent_ms", aNow - m_attempt->HeardAt()));
+    }
+    return;
   }
-  return false;
+  m_standby = MakeAttempt(result.m_choice, aNow);
+  LogFailover(*m_standby, "started");
+  m_standby->AdvanceInBackground(
+    [this](AttemptStep aStep) { NoteStandbyStep(aStep); });
+}
+
+bool
+RequestRun::IsOverlapOver(Instant aNow) const
+{
+  const std::optional<Instant> sentAt = m_standby->SentAt();
+  return m_route->m_kind == CallKind::kStream && sentAt &&
+         aNow - *sentAt >= m_state->m_options.m_maxStreamOverlap;
 }
 
 void
 RequestRun::Tick(Instant aNow, Duration aStall)
 {
-  if (!m_exchange) {
+  if (!m_attempt) {
     return;
   }
+  for (const auto& attempt : { m_attempt, m_standby }) {
+    if (attempt) {
+      attempt->Tick(aNow, aStall);
+    }
+  }
   if (m_idleDeadline) {
     *m_idleDeadline += aStall;
   }
@@ -91,16 +105,22 @@
   if (!m_overdueSince) {
     m_overdueSince = aNow;
   }
-  if (m_exchange->HasUnreadBytes() && aNow - *m_overdueSince < kMaxOverdue) {
+  if (m_attempt->Exchange().HasUnreadBytes() &&
+      aNow - *m_overdueSince < kMaxOverdue) {
     return;
   }
-  if (!isDeadlinePassed && m_isRequestSent && !ReserveFailover(aNow)) {
-    ArmIdleTimeout(m_state->m_options.m_failoverCheckInterval);
-    return;
+  if (isDeadlinePassed) {
+    m_idleDeadline.reset();
+    m_attempt->Abort(AbortReason::kDeadline);
+    if (m_standby && !m_standby->HasAnswer()) {
+      m_standby->Abort(AbortReason::kDeadline);
+    }
+  } else if (!m_standby) {
+    StartStandby(aNow);
+  } else if (IsOverlapOver(aNow)) {
+    m_idleDeadline.reset();
+    m_attempt->Abort(AbortReason::kIdleTimeout);
   }
-  m_idleDeadline.reset();
-  m_exchange->Abort(isDeadlinePassed ? AbortReason::kDeadline
-                                     : AbortReason::kIdleTimeout);
 }
 
 } // namespace bergamotpaddle
--- /dev/null
+++ b/lib/Forwarding/UpstreamAttempt.cpp
@@ -0,0 +1,344 @@
+#include "bergamotpaddle/Forwarding/UpstreamAttempt.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace bergamotpaddle {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int kFirstServerError = 500;
+constexpr int kOkBegin = 200;
+constexpr int kOkEnd = 300;
+
+bool
+IsSuccess(int aStatus)
+{
+  return aStatus >= kOkBegin && aStatus < kOkEnd;
+}
+
+} // namespace
+
+std::string_view
+Describe(AttemptStep aStep)
+{
+  switch (aStep) {
+    case AttemptStep::kEvents:
+      return "events";
+    case AttemptStep::kStreamEnd:
+      return "stream_end";
+    case AttemptStep::kResponse:
+      return "response";
+    case AttemptStep::kNeverSent:
+      return "never_sent";
+    case AttemptStep::kNotRun:
+      return "not_run";
+    case AttemptStep::kFailed:
+      return "error_response";
+    case AttemptStep::kIncomplete:
+      return "incomplete";
+  }
+  return "";
+}
+
+bool
+IsFailure(AttemptStep aStep)
+{
+  switch (aStep) {
+    case AttemptStep::kEvents:
+    case AttemptStep::kStreamEnd:
+    case AttemptStep::kResponse:
+      return false;
+    case AttemptStep::kNeverSent:
+    case AttemptStep::kNotRun:
+    case AttemptStep::kFailed:
+    case AttemptStep::kIncomplete:
+      return true;
+  }
+  return true;
+}
+
+UpstreamAttempt::UpstreamAttempt(GatewayState& aState,
+                                 const asio::any_io_executor& aExecutor,
+                                 AttemptRequest aRequest,
+                                 HeadWriter aWriteHead,
+                                 HeardHook aOnHeard)
+  : m_state(&aState)
+  , m_request(std::move(aRequest))
+  , m_writeHead(std::move(aWriteHead))
+  , m_onHeard(std::move(aOnHeard))
+  , m_exchange(std::make_shared<UpstreamExchange>(aExecutor))
+  , m_splitter(m_request.m_resumeAfterId)
+  , m_startedAt(aState.Now())
+  , m_heardAt(m_startedAt)
+  , m_backgroundDone(aExecutor, asio::steady_timer::time_point::max())
+{
+  m_state->m_upstreams.NoteSent(Upstream(),
+                                IsLightStream(),
+                                Choice().m_prefill,
+                                m_request.m_parts,
+                                m_startedAt);
+  m_state->m_onLoadChanged(Upstream(), m_request.m_parts);
+}
+
+UpstreamAttempt::Awaitable<AttemptStep>
+UpstreamAttempt::Advance()
+{
+  if (m_isInBackground) {
+    boost::system::error_code ignored;
+    co_await m_backgroundDone.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  if (const auto step = std::exchange(m_backgroundStep, std::nullopt)) {
+    co_return *step;
+  }
+  co_return co_await TakeStep();
+}
+
+void
+UpstreamAttempt::AdvanceInBackground(StepHook aOnStep)
+{
+  m_onStep = std::move(aOnStep);
+  m_isInBackground = true;
+  asio::co_spawn(m_backgroundDone.get_executor(),
+                 RunInBackground(shared_from_this()),
+                 asio::detached);
+}
+
+UpstreamAttempt::Awaitable<void>
+UpstreamAttempt::RunInBackground(std::shared_ptr<UpstreamAttempt> aSelf)
+{
+  const AttemptStep step = co_await aSelf->TakeStep();
+  aSelf->m_backgroundStep = step;
+  aSelf->m_isInBackground = false;
+  aSelf->m_backgroundDone.cancel();
+  if (const StepHook onStep = std::exchange(aSelf->m_onStep, nullptr)) {
+    onStep(step);
+  }
+}
+
+UpstreamAttempt::Awaitable<AttemptStep>
+UpstreamAttempt::TakeStep()
+{
+  if (!m_sentAt) {
+    if (!co_await Connect()) {
+      co_return AttemptStep::kNeverSent;
+    }
+    if (const auto failure = co_await ReadHead()) {
+      co_return *failure;
+    }
+  }
+  if (m_isEventStream) {
+    co_return co_await ReadEvents();
+  }
+  co_return co_await CollectResponse();
+}
+
+UpstreamAttempt::Awaitable<bool>
+UpstreamAttempt::Connect()
+{
+  m_connectTimeout = m_state->m_adaptiveConnectTimeout.TimeoutFor(
+    m_state->m_options.m_connectTimeout);
+  m_connectDeadline = m_state->Now() + m_connectTimeout;
+  const bool isConnected = co_await m_exchange->Connect(m_request.m_address);
+  m_connectDeadline.reset();
+  if (!isConnected || m_isFinished) {
+    if (m_exchange->GetAbortReason() == AbortReason::kIdleTimeout) {
+      ++m_state->m_counters.m_connectTimeouts;
+      m_state->m_adaptiveConnectTimeout.NoteTimedOut(m_connectTimeout);
+    }
+    co_return false;
+  }
+  const Instant now = m_state->Now();
+  m_state->m_counters.m_connectTime.Record(now - m_startedAt);
+  m_state->m_adaptiveConnectTimeout.NoteConnected(now - m_startedAt);
+  m_sentAt = now;
+  m_heardAt = now;
+  m_exchange->BeginSending(m_writeHead(*this), m_request.m_body);
+  co_return true;
+}
+
+void
+UpstreamAttempt::Tick(Instant aNow, Duration aStall)
+{
+  if (!m_connectDeadline) {
+    return;
+  }
+  *m_connectDeadline += aStall;
+  if (aNow >= *m_connectDeadline) {
+    m_connectDeadline.reset();
+    m_exchange->Abort(AbortReason::kIdleTimeout);
+  }
+}
+
+UpstreamAttempt::Awaitable<std::optional<AttemptStep>>
+UpstreamAttempt::ReadHead()
+{
+  const std::optional<UpstreamExchange::Head> head =
+    co_await m_exchange->ReadHead(m_request.m_isHeadRequest);
+  if (!head || m_isFinished) {
+    co_return AttemptStep::kIncomplete;
+  }
+  NoteHeard();
+  m_response = m_state->m_dialect.m_readResponse(
+    head->m_status, head->m_reason, head->m_fields);
+  if (m_response.m_load) {
+    m_response.m_load->m_reportedAt = m_state->Now();
+    m_state->m_upstreams.NoteReport(Upstream(), *m_response.m_load);
+    m_state->m_onLoadChanged(Upstream(), {});
+  }
+  if (m_response.m_isProvedNotRun && !IsSuccess(m_response.m_status) &&
+      !IsForOtherAttempt()) {
+    co_return AttemptStep::kNotRun;
+  }
+  if (IsInvalidResponse()) {
+    ++m_state->m_counters.m_invalidResponses;
+    m_errorMessage = "the answer is spoiled or belongs to another request";
+    co_return AttemptStep::kIncomplete;
+  }
+  m_isEventStream = m_request.m_isStream && IsSuccess(m_response.m_status) &&
+                    m_response.m_isEventStream;
+  co_return std::nullopt;
+}
+
+UpstreamAttempt::Awaitable<AttemptStep>
+UpstreamAttempt::CollectResponse()
+{
+  const ForwardingOptions& options = m_state->m_options;
+  while (!m_exchange->IsComplete()) {
+    const std::string bytes = co_await m_exchange->ReadBody();
+    if (m_isFinished) {
+      co_return AttemptStep::kIncomplete;
+    }
+    m_body += bytes;
+    if (!bytes.empty()) {
+      NoteHeard();
+    }
+    m_countedBytes += bytes.size();
+    m_state->m_bufferedResponseBytes += bytes.size();
+    const bool isTooLarge =
+      m_exchange->Bytes().m_received > options.m_maxResponseBytes ||
+      m_state->m_bufferedResponseBytes > options.m_maxBufferedResponseBytes;
+    if (isTooLarge || (bytes.empty() && !m_exchange->IsComplete())) {
+      m_errorMessage =
+        isTooLarge ? "the answer is too long" : "the answer broke off";
+      co_return AttemptStep::kIncomplete;
+    }
+  }
+  if (IsSuccess(m_response.m_status)) {
+    NoteBegun();
+  }
+  if (m_response.m_status >= kFirstServerError) {
+    co_return AttemptStep::kFailed;
+  }
+  // A plain body cannot continue a stream of events.
+  co_return m_request.m_isResumed ? AttemptStep::kIncomplete
+                                  : AttemptStep::kResponse;
+}
+
+UpstreamAttempt::Awaitable<AttemptStep>
+UpstreamAttempt::ReadEvents()
+{
+  while (!m_hasReadBody || !m_exchange->IsComplete()) {
+    const std::string bytes = co_await m_exchange->ReadBody();
+    m_hasReadBody = true;
+    if (m_isFinished) {
+      co_return AttemptStep::kIncomplete;
+    }
+    if (!bytes.empty()) {
+      NoteHeard();
+    }
+    m_events += m_splitter.Consume(bytes);
+    if (m_splitter.PartialBytes() > m_state->m_options.m_maxEventBytes) {
+      m_errorMessage = "an event of the stream is too long";
+      co_return AttemptStep::kIncomplete;
+    }
+    if (m_splitter.HasGap()) {
+      m_errorMessage = "an event of the stream is missing";
+      co_return AttemptStep::kIncomplete;
+    }
+    if (!m_events.empty()) {
+      NoteBegun();
+      co_return AttemptStep::kEvents;
+    }
+    if (bytes.empty() && !m_exchange->IsComplete()) {
+      m_errorMessage = "the stream broke off";
+      co_return AttemptStep::kIncomplete;
+    }
+  }
+  if (m_splitter.HasPartial()) {
+    m_errorMessage = "the stream ends within an event";
+    co_return AttemptStep::kIncomplete;
+  }
+  co_return AttemptStep::kStreamEnd;
+}
+
+bool
+UpstreamAttempt::IsForOtherAttempt() const
+{
+  return !m_response.m_attemptId.empty() &&
+         m_response.m_attemptId != m_request.m_attemptId;
+}
+
+bool
+UpstreamAttempt::IsInvalidResponse() const
+{
+  const bool isUnsigned =
+    IsSuccess(m_response.m_status) &&
+    (!m_response.m_isSealed || m_response.m_isProvedNotRun);
+  return IsForOtherAttempt() || isUnsigned || m_response.m_isEncoded;
+}
+
+void
+UpstreamAttempt::NoteHeard()
+{
+  m_heardAt = m_state->Now();
+  m_onHeard(*this);
+}
+
+void
+UpstreamAttempt::NoteBegun()
+{
+  if (std::exchange(m_hasBegun, true)) {
+    return;
+  }
+  m_state->m_quarantine.NoteBegun(m_request.m_parts, m_state->Now());
+  m_state->LogQuarantineChanges();
+}
+
+std::string
+UpstreamAttempt::TakeEvents()
+{
+  m_takenEvents = m_splitter.Events();
+  m_splitter.ResetCount();
+  return std::exchange(m_events, {});
+}
+
+void
+UpstreamAttempt::Finish()
+{
+  if (std::exchange(m_isFinished, true)) {
+    return;
+  }
+  m_onStep = nullptr;
+  m_connectDeadline.reset();
+  m_exchange->Close();
+  m_state->m_counters.m_traffic.Record(TrafficPeer::kUpstreams,
+                                       m_exchange->Bytes().m_sent,
+                                       m_exchange->Bytes().m_received);
+  m_state->m_upstreams.NoteEnded(Upstream(), IsLightStream());
+  m_state->m_onLoadChanged(Upstream(), {});
+}
+
+void
+UpstreamAttempt::ReleaseBody()
+{
+  m_state->m_bufferedResponseBytes -= std::exchange(m_countedBytes, 0);
+  m_body = {};
+}
+
+} // namespace bergamotpaddle
--- a/lib/Forwarding/UpstreamExchange.cpp
+++ b/lib/Forwarding/UpstreamExchange.cpp
@@ -53,6 +53,8 @@
       return "deadline";
     case AbortReason::kIdleTimeout:
       return "silence";
+    case AbortReason::kReplaced:
+      return "replaced";
   }
   return "";
 }
--- a/lib/Gateway/Failover.cpp
+++ b/lib/Gateway/Failover.cpp
@@ -35,7 +35,7 @@
                   Duration aMinTimeLeft,
                   Instant aNow)
 {
-  if (!aProgress.MayAbandonSend()) {
+  if (!aProgress.MaySendBeside()) {
     return { FailoverResult::Verdict::kNoAttempt, {} };
   }
   if (aRequest.m_timeLeft < aMinTimeLeft) {
--- a/lib/Gateway/RequestProgress.cpp
+++ b/lib/Gateway/RequestProgress.cpp
@@ -15,14 +15,14 @@
 RequestProgress::NoteSending(const UpstreamId& aUpstream)
 {
   ++m_sends;
-  m_isInFlight = true;
+  ++m_inFlight;
   m_tried.insert(aUpstream);
 }
 
 void
 RequestProgress::NoteOutcome(SendOutcome aOutcome)
 {
-  m_isInFlight = false;
+  --m_inFlight;
   if (aOutcome == SendOutcome::kNeverSent) {
     return;
   }
@@ -33,7 +33,7 @@
 bool
 RequestProgress::MaySendAgain() const
 {
-  if (m_isInFlight || m_sends >= kMaxSends) {
+  if (m_inFlight > 0 || m_sends >= kMaxSends) {
     return false;
   }
   return m_mayRepeat ? m_mayHaveRunCount < m_maxAttempts
@@ -41,9 +41,9 @@
 }
 
 bool
-RequestProgress::MayAbandonSend() const
+RequestProgress::MaySendBeside() const
 {
-  return m_isInFlight && m_sends < kMaxSends && m_mayRepeat &&
+  return m_inFlight == 1 && m_sends < kMaxSends && m_mayRepeat &&
          m_mayHaveRunCount + 1 < m_maxAttempts;
 }
 
--- a/lib/Gateway/RetryBudget.cpp
+++ b/lib/Gateway/RetryBudget.cpp
@@ -55,4 +55,14 @@
   return true;
 }
 
+void
+RetryBudget::Release(const ServiceId& aService, Instant aConsumedAt)
+{
+  std::deque<Instant>& retries = m_histories[aService].m_retries;
+  const auto found = std::find(retries.begin(), retries.end(), aConsumedAt);
+  if (found != retries.end()) {
+    retries.erase(found);
+  }
+}
+
 } // namespace bergamotpaddle
--- a/unittests/Gateway/RequestProgressTest.cpp
+++ b/unittests/Gateway/RequestProgressTest.cpp
@@ -93,3 +93,46 @@
     CHECK_FALSE(other.MaySendAgain());
   }
 }
+
+TEST_CASE("a request at two upstreams at once", "[progress]")
+{
+  RequestProgress progress(CallKind::kRepeatable, false, 2);
+  CHECK_FALSE(progress.MaySendBeside());
+  progress.NoteSending(kFirst);
+  REQUIRE(progress.MaySendBeside());
+  progress.NoteSending(kSecond);
+  CHECK_FALSE(progress.MaySendBeside());
+  CHECK_FALSE(progress.MaySendAgain());
+
+  SECTION("may get another one beside the first if the second did not run it")
+  {
+    progress.NoteOutcome(SendOutcome::kProvedNotRun);
+    CHECK(progress.MaySendBeside());
+    CHECK_FALSE(progress.MaySendAgain());
+    CHECK_FALSE(progress.IsProvedNotRun());
+  }
+
+  SECTION("has no attempt left if the second may have run it")
+  {
+    progress.NoteOutcome(SendOutcome::kMayHaveRun);
+    CHECK_FALSE(progress.MaySendBeside());
+    progress.NoteOutcome(SendOutcome::kMayHaveRun);
+    CHECK_FALSE(progress.MaySendAgain());
+  }
+
+  SECTION("is proved not run only when neither ran it")
+  {
+    progress.NoteOutcome(SendOutcome::kProvedNotRun);
+    CHECK_FALSE(progress.IsProvedNotRun());
+    progress.NoteOutcome(SendOutcome::kNeverSent);
+    CHECK(progress.IsProvedNotRun());
+    CHECK(progress.MaySendAgain());
+  }
+
+  SECTION("must not run twice if it may run only once")
+  {
+    RequestProgress once(CallKind::kRunOnce, false, 2);
+    once.NoteSending(kFirst);
+    CHECK_FALSE(once.MaySendBeside());
+  }
+}
--- a/unittests/Gateway/RetryBudgetTest.cpp
+++ b/unittests/Gateway/RetryBudgetTest.cpp
@@ -46,3 +46,29 @@
     REQUIRE(static_cast<double>(countInWindow(retries, end)) <= bound);
   }
 }
+
+TEST_CASE("a retry whose connection was not established", "[retry]")
+{
+  const ServiceId service("desk");
+  const Instant start{ std::chrono::seconds(1) };
+  RetryBudget budget({ 0, 2, std::chrono::seconds(10), 1 });
+  REQUIRE(budget.Consume(service, start));
+  REQUIRE(budget.Consume(service, start + std::chrono::milliseconds(5)));
+  REQUIRE_FALSE(budget.HasRetry(service, start));
+
+  SECTION("is available again after it was released")
+  {
+    budget.Release(service, start);
+    CHECK(budget.Consume(service, start));
+    CHECK_FALSE(budget.HasRetry(service, start));
+  }
+
+  SECTION("is not released twice, nor for another service")
+  {
+    budget.Release(service, start);
+    budget.Release(service, start);
+    budget.Release(ServiceId("other"), start);
+    CHECK(budget.Consume(service, start));
+    CHECK_FALSE(budget.HasRetry(service, start));
+  }
+}
