Count every byte of a response as a sign of life

What callers saw: a repeatable call whose upstream sent its body in parts, or a stream whose next event arrived in parts, was sent to a second upstream although the first one was sending. Each part also recorded another failure of the sound upstream, so that later requests avoided it for longer and longer.

Cause: the response timeout ran from the send or from the last whole event, but each part ended the note of the current silence. So the next tick found the timeout passed and took it for a new silence.

Fix: bytes of the response let the timeout run anew. A stream whose second upstream is dropped because the first one was heard does so too.

Evidence: with the test, before: 4 of 6 assertions fail (two upstreams instead of one, 5 and 2 failures recorded in a row); now all pass.

--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -303,9 +303,11 @@
     return;
   }
   m_isSilenceNoted = false;
-  if (m_standby && m_route->m_kind == CallKind::kStream) {
+  if (m_idleDeadline) {
+    ArmIdleTimeout(aAttempt.HeardAt());
+  }
+  if (m_route->m_kind == CallKind::kStream) {
     DropStandby(); // Two upstreams must not work on a stream for long.
-    ArmIdleTimeout(m_state->Now());
   }
 }
 
--- a/unittests/Platform/Loopback.h
+++ b/unittests/Platform/Loopback.h
@@ -36,6 +36,7 @@
     bool m_isReset = false;    ///< Close the connection with a TCP reset.
     std::chrono::milliseconds m_pause{ 0 }; ///< Before the continuation.
     std::string m_continuation; ///< Sent after the response and the pause.
+    std::vector<std::string> m_furtherParts; ///< Each sent after another pause.
   };
 
   explicit ScriptedUpstream(asio::io_context& aIo)
@@ -95,12 +96,16 @@
       asio::buffer(script.m_response),
       asio::redirect_error(asio::use_awaitable, error));
     if (!script.m_continuation.empty()) {
+      script.m_furtherParts.insert(script.m_furtherParts.begin(),
+                                   script.m_continuation);
+    }
+    for (const std::string& part : script.m_furtherParts) {
       asio::steady_timer timer(aSocket.get_executor(), script.m_pause);
       co_await timer.async_wait(
         asio::redirect_error(asio::use_awaitable, error));
       co_await asio::async_write(
         aSocket,
-        asio::buffer(script.m_continuation),
+        asio::buffer(part),
         asio::redirect_error(asio::use_awaitable, error));
     }
     if (script.m_isKeptOpen) {
--- a/unittests/Platform/SilenceFixture.h
+++ b/unittests/Platform/SilenceFixture.h
@@ -98,6 +98,14 @@
     CHECK(m_state.m_retries.Consume(kService, m_state.Now()));
   }
 
+  /// Calls \p aAction after \p aDelay.
+  void After(std::chrono::milliseconds aDelay, std::function<void()> aAction)
+  {
+    auto timer = std::make_shared<asio::steady_timer>(m_io, aDelay);
+    timer->async_wait([timer, action = std::move(aAction)](
+                        const boost::system::error_code&) { action(); });
+  }
+
   std::size_t SendCount() const
   {
     return m_firstUpstream.m_requests.size() +
--- a/unittests/Platform/SilentUpstreamTest.cpp
+++ b/unittests/Platform/SilentUpstreamTest.cpp
@@ -185,6 +185,51 @@
   }
 }
 
+// Regression: the timeout of a response ran from the send, so that an upstream
+// that sent its body slowly counted as silent, once for each part of it.
+TEST_CASE("a response that arrives slowly", "[forwarding][silence]")
+{
+  SilenceFixture fixture(2);
+  ScriptedUpstream::Script slow;
+  slow.m_pause = milliseconds(250);
+  int failures = 0;
+  const auto checkHealthEvery = [&](milliseconds aInterval, int aTimes) {
+    for (int i = 1; i <= aTimes; ++i) {
+      fixture.After(aInterval * i, [&] {
+        failures = std::max(failures,
+                            fixture.m_state.m_upstreams.Find(fixture.m_chosen)
+                              ->m_consecutiveFailures);
+      });
+    }
+  };
+
+  SECTION("is awaited where it is")
+  {
+    slow.m_response = "HTTP/1.1 200 OK\r\nBergamotpaddle-Attempt-Id: {ID}\r\n"
+                      "Bergamotpaddle-Response-Seal: s\r\n"
+                      "Content-Length: 6\r\n\r\n";
+    slow.m_furtherParts = { "a", "b", "c", "d", "e", "f" };
+    fixture.Script(slow, {});
+    checkHealthEvery(milliseconds(50), 32);
+    CHECK(fixture.Call("/again/x").ends_with("abcdef"));
+  }
+
+  SECTION("is awaited where it is if it is a stream")
+  {
+    slow.m_response = BegunStream();
+    slow.m_pause = milliseconds(500);
+    slow.m_furtherParts = { GatewayFixture::Chunk("id: 2\n"),
+                            GatewayFixture::Chunk("data: "),
+                            GatewayFixture::Chunk("b\n"),
+                            GatewayFixture::Chunk("\n") + "0\r\n\r\n" };
+    fixture.Script(slow, {});
+    checkHealthEvery(milliseconds(50), 40);
+    CHECK(IsWholeStream(fixture.Call("/resume/x")));
+  }
+  CHECK(fixture.SendCount() == 1);
+  CHECK(failures == 0);
+}
+
 TEST_CASE("the log of a stream that the router closes", "[forwarding][log]")
 {
   GatewayFixture fixture;
--- a/unittests/Platform/SoundUpstreamAbandonedTest.cpp
+++ b/unittests/Platform/SoundUpstreamAbandonedTest.cpp
@@ -78,14 +78,6 @@
       }
     };
   }
-
-  /// Calls \p aAction after \p aDelay.
-  void After(milliseconds aDelay, std::function<void()> aAction)
-  {
-    auto timer = std::make_shared<asio::steady_timer>(m_io, aDelay);
-    timer->async_wait([timer, action = std::move(aAction)](
-                        const boost::system::error_code&) { action(); });
-  }
 };
 
 } // namespace
