A call leaves its second silent upstream too

Cause: a request had one standby attempt at most. Whichever has a whole response first is delivered, and the others are ended.

--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -76,20 +76,23 @@
   void NoteHeard(const UpstreamAttempt& aAttempt);
   /// Sends the request to another upstream as well, if one can take it.
   void StartStandby(Instant aNow);
-  /// What the standby attempt has, or how it failed, takes effect.
-  void NoteStandbyStep(AttemptStep aStep);
-  /// Continues with the standby attempt in place of m_attempt, which has ended.
-  void AdoptStandby();
-  /// Gives the standby attempt up, if there is one: m_attempt has an answer.
-  void DropStandby();
+  /// What a standby attempt has, or how it failed, takes effect.
+  void NoteStandbyStep(const UpstreamAttempt& aStandby, AttemptStep aStep);
+  /// The standby attempt that has an answer, or else the oldest one that was
+  /// not aborted; null if there is none.
+  std::shared_ptr<UpstreamAttempt> BestStandby() const;
+  /// Continues with \p aStandby in place of m_attempt, which has ended.
+  void AdoptStandby(const std::shared_ptr<UpstreamAttempt>& aStandby);
+  /// Gives all standby attempts up: m_attempt has an answer, or none will.
+  void DropStandbys();
   /// Records how an attempt ended.
   void EndAttempt(const std::shared_ptr<UpstreamAttempt>& aAttempt,
                   AttemptStep aStep);
   /// Logs a failed attempt, and records a crash that it may be due to.
   void NoteFailure(const UpstreamAttempt& aAttempt, AttemptStep aStep);
   void LogFailover(const UpstreamAttempt& aStandby, std::string_view aResult);
-  /// Ends all attempts; no hook is called any more.
-  void ReleaseAttempts();
+  /// Calls \p aAction with every attempt that was not given up.
+  void ForEachAttempt(const std::function<void(UpstreamAttempt&)>& aAction);
   Awaitable<void> FinishRequest(bool aIsDelivered);
   Awaitable<void> RespondLocally(LocalResponse aResponse);
   std::string UpstreamHead(const UpstreamId& aUpstream) const;
@@ -137,12 +140,10 @@
   bool m_isStreamBegun = false;
   std::string m_lastEventId;
   std::shared_ptr<UpstreamAttempt> m_attempt;
-  /// At another upstream, while that of m_attempt is silent.
-  std::shared_ptr<UpstreamAttempt> m_standby;
+  /// At other upstreams, while that of m_attempt is silent; the oldest first.
+  std::vector<std::shared_ptr<UpstreamAttempt>> m_standbys;
   /// The latest attempt that ended with a complete error response.
   std::shared_ptr<UpstreamAttempt> m_failedAttempt;
-  /// Whether the current silence was recorded as a failure of the upstream.
-  bool m_isSilenceNoted = false;
   // For the log.
   ResultCode m_code = ResultCode::kInternal;
   int m_status = 0;
--- a/include/bergamotpaddle/Forwarding/UpstreamAttempt.h
+++ b/include/bergamotpaddle/Forwarding/UpstreamAttempt.h
@@ -113,6 +113,10 @@
   Instant HeardAt() const { return m_heardAt; }
   /// Whether a part of the response could be delivered.
   bool HasBegun() const { return m_hasBegun; }
+  /// Records that the upstream is silent; returns whether that is new.
+  bool NoteSilence() { return !std::exchange(m_isSilent, true); }
+  /// Whether the upstream is silent since `NoteSilence`.
+  bool IsSilent() const { return m_isSilent; }
   /// Why the attempt failed, if more is known than the connection's error.
   const std::string& ErrorMessage() const { return m_errorMessage; }
 
@@ -157,6 +161,7 @@
   bool m_isEventStream = false;
   bool m_hasReadBody = false;
   bool m_hasBegun = false;
+  bool m_isSilent = false;
   bool m_isFinished = false;
   std::string m_errorMessage;
   std::optional<AttemptStep> m_backgroundStep;
--- a/include/bergamotpaddle/Gateway/Failover.h
+++ b/include/bergamotpaddle/Gateway/Failover.h
@@ -43,7 +43,7 @@
            RetryBudget& aRetries);
 
   /// Consumes a retry and returns the upstream for it if the request, whose
-  /// only send in flight may have reached its upstream, can be sent to another
+  /// sends in flight may have reached their upstreams, can be sent to another
   /// one with at least \p aMinTimeLeft left. Changes nothing otherwise.
   FailoverResult Reserve(const RequestProgress& aProgress,
                          const PlacementRequest& aRequest,
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -40,7 +40,13 @@
 
 RequestRun::~RequestRun()
 {
-  ReleaseAttempts();
+  ForEachAttempt([](UpstreamAttempt& aAttempt) {
+    aAttempt.Finish();
+    aAttempt.ReleaseBody();
+  });
+  if (m_failedAttempt) {
+    m_failedAttempt->ReleaseBody();
+  }
   --m_state->m_requestsInFlight;
 }
 
@@ -64,11 +70,9 @@
   } else {
     m_caller->WatchForDisconnect([this] {
       m_isCallerDisconnected = true;
-      for (const auto& attempt : { m_attempt, m_standby }) {
-        if (attempt) {
-          attempt->Abort(AbortReason::kCallerDisconnected);
-        }
-      }
+      ForEachAttempt([](UpstreamAttempt& aAttempt) {
+        aAttempt.Abort(AbortReason::kCallerDisconnected);
+      });
     });
     co_await Forward();
     m_caller->StopDisconnectWatch();
@@ -91,7 +95,6 @@
     if (!choice) {
       break;
     }
-    m_isSilenceNoted = false;
     Use(MakeAttempt(*choice, std::nullopt));
     isDelivered = co_await DeliverAnswer();
   } while (!isDelivered && ShouldRetry());
@@ -180,22 +183,20 @@
   while (true) {
     const AttemptStep step = co_await m_attempt->Advance();
     const AbortReason reason = m_attempt->Exchange().GetAbortReason();
-    const bool hasStandby =
-      m_standby && m_standby->Exchange().GetAbortReason() == AbortReason::kNone;
+    const std::shared_ptr<UpstreamAttempt> standby = BestStandby();
     // A read may have completed before the attempt was aborted. What it
     // returned is of use only if no other attempt has taken over.
-    const bool hasFailed =
-      IsFailure(step) || m_isCallerDisconnected ||
-      (hasStandby && (reason == AbortReason::kReplaced ||
-                      reason == AbortReason::kIdleTimeout));
+    const bool hasFailed = IsFailure(step) || m_isCallerDisconnected ||
+                           (standby && (reason == AbortReason::kReplaced ||
+                                        reason == AbortReason::kIdleTimeout));
     if (hasFailed) {
       EndAttempt(m_attempt, IsFailure(step) ? step : AttemptStep::kIncomplete);
     }
-    if (hasFailed && hasStandby) {
-      AdoptStandby();
+    if (hasFailed && standby) {
+      AdoptStandby(standby);
       continue;
     }
-    DropStandby();
+    DropStandbys();
     if (hasFailed) {
       co_return false;
     }
@@ -302,70 +303,86 @@
       aAttempt.Exchange().GetAbortReason() != AbortReason::kNone) {
     return;
   }
-  m_isSilenceNoted = false;
   if (m_idleDeadline) {
     ArmIdleTimeout(aAttempt.HeardAt());
   }
   if (m_route->m_kind == CallKind::kStream) {
-    DropStandby(); // Two upstreams must not work on a stream for long.
+    DropStandbys(); // Two upstreams must not work on a stream for long.
   }
 }
 
 void
-RequestRun::NoteStandbyStep(AttemptStep aStep)
+RequestRun::NoteStandbyStep(const UpstreamAttempt& aStandby, AttemptStep aStep)
 {
   if (!IsFailure(aStep)) {
     m_attempt->Abort(AbortReason::kReplaced);
     return;
   }
+  const auto found = std::find_if(
+    m_standbys.begin(), m_standbys.end(), [&aStandby](const auto& aAttempt) {
+      return aAttempt.get() == &aStandby;
+    });
+  const std::shared_ptr<UpstreamAttempt> standby = *found;
+  m_standbys.erase(found);
   ++m_state->m_counters.m_failoversFailed;
-  LogFailover(*m_standby, "failed");
-  EndAttempt(m_standby, aStep);
-  m_standby.reset();
+  LogFailover(*standby, "failed");
+  EndAttempt(standby, aStep);
   m_idleDeadline = m_state->Now() + m_state->m_options.m_failoverCheckInterval;
 }
 
+std::shared_ptr<UpstreamAttempt>
+RequestRun::BestStandby() const
+{
+  std::shared_ptr<UpstreamAttempt> best;
+  for (const auto& standby : m_standbys) {
+    const bool isAborted =
+      standby->Exchange().GetAbortReason() != AbortReason::kNone;
+    if (!isAborted && (!best || (standby->HasAnswer() && !best->HasAnswer()))) {
+      best = standby;
+    }
+  }
+  return best;
+}
+
 void
-RequestRun::AdoptStandby()
+RequestRun::AdoptStandby(const std::shared_ptr<UpstreamAttempt>& aStandby)
 {
   ++m_state->m_counters.m_failoversReplaced;
-  LogFailover(*m_standby, "replaced");
+  LogFailover(*aStandby, "replaced");
   m_state->m_counters.m_streamsResumed += m_isStreamBegun ? 1 : 0;
-  Use(std::exchange(m_standby, nullptr));
-  m_attempt->ClearStepHook();
-  m_isSilenceNoted = false;
+  aStandby->ClearStepHook();
+  Use(aStandby);
+  std::erase(m_standbys, aStandby);
   if (m_attempt->SentAt()) {
     ArmIdleTimeout(m_attempt->HeardAt());
   }
 }
 
 void
-RequestRun::DropStandby()
+RequestRun::DropStandbys()
 {
-  if (!m_standby) {
-    return;
+  for (const auto& standby : std::exchange(m_standbys, {})) {
+    const AbortReason reason = standby->Exchange().GetAbortReason();
+    if (reason == AbortReason::kNone) {
+      ++m_state->m_counters.m_failoversKept;
+      standby->Abort(AbortReason::kReplaced);
+    }
+    LogFailover(*standby,
+                reason == AbortReason::kNone ? "kept" : Describe(reason));
+    EndAttempt(standby,
+               standby->SentAt() ? AttemptStep::kIncomplete
+                                 : AttemptStep::kNeverSent);
   }
-  const auto standby = std::exchange(m_standby, nullptr);
-  const AbortReason reason = standby->Exchange().GetAbortReason();
-  if (reason == AbortReason::kNone) {
-    ++m_state->m_counters.m_failoversKept;
-    standby->Abort(AbortReason::kReplaced);
-  }
-  LogFailover(*standby,
-              reason == AbortReason::kNone ? "kept" : Describe(reason));
-  EndAttempt(standby,
-             standby->SentAt() ? AttemptStep::kIncomplete
-                               : AttemptStep::kNeverSent);
 }
 
 void
-RequestRun::ReleaseAttempts()
+RequestRun::ForEachAttempt(const std::function<void(UpstreamAttempt&)>& aAction)
 {
-  for (const auto& attempt : { m_attempt, m_standby, m_failedAttempt }) {
-    if (attempt) {
-      attempt->Finish();
-      attempt->ReleaseBody();
-    }
+  if (m_attempt) {
+    aAction(*m_attempt);
+  }
+  for (const auto& standby : m_standbys) {
+    aAction(*standby);
   }
 }
 
@@ -407,8 +424,7 @@
   m_progress->NoteOutcome(sendOutcome);
   const bool hasUpstreamFailed = health != ExchangeOutcome::kSucceeded;
   const bool isDropped = !isInUse && reason == AbortReason::kReplaced;
-  const bool isNoted =
-    isInUse ? m_isSilenceNoted && hasUpstreamFailed : isDropped;
+  const bool isNoted = isDropped || (aAttempt->IsSilent() && hasUpstreamFailed);
   if (reason != AbortReason::kCallerDisconnected && !isNoted) {
     m_state->m_upstreams.NoteOutcome(aAttempt->Upstream(), health, now);
   }
--- a/lib/Forwarding/RequestTimeouts.cpp
+++ b/lib/Forwarding/RequestTimeouts.cpp
@@ -42,12 +42,18 @@
 void
 RequestRun::StartStandby(Instant aNow)
 {
-  const bool isNewSilence = !std::exchange(m_isSilenceNoted, true);
+  const bool isNewSilence = m_attempt->NoteSilence();
   if (isNewSilence) {
     // The request stays, but later ones should avoid the silent upstream.
     m_state->m_upstreams.NoteOutcome(
       m_attempt->Upstream(), ExchangeOutcome::kUnreachable, aNow);
   }
+  for (const auto& standby : m_standbys) {
+    if (standby->SentAt() && standby->NoteSilence()) {
+      m_state->m_upstreams.NoteOutcome(
+        standby->Upstream(), ExchangeOutcome::kUnreachable, aNow);
+    }
+  }
   m_idleDeadline = aNow + m_state->m_options.m_failoverCheckInterval;
   if (m_state->m_quarantine.RefusedFor(m_request.m_parts, aNow)) {
     return; // No upstream may get the request any more.
@@ -69,18 +75,25 @@
     }
     return;
   }
-  m_standby = MakeAttempt(result.m_choice, aNow);
-  LogFailover(*m_standby, "started");
-  m_standby->AdvanceInBackground(
-    [this](AttemptStep aStep) { NoteStandbyStep(aStep); });
+  ArmIdleTimeout(aNow);
+  const std::shared_ptr<UpstreamAttempt> standby =
+    MakeAttempt(result.m_choice, aNow);
+  m_standbys.push_back(standby);
+  LogFailover(*standby, "started");
+  standby->AdvanceInBackground(
+    [this, attempt = standby.get()](AttemptStep aStep) {
+      NoteStandbyStep(*attempt, aStep);
+    });
 }
 
 bool
 RequestRun::IsOverlapOver(Instant aNow) const
 {
-  const std::optional<Instant> sentAt = m_standby->SentAt();
-  return m_route->m_kind == CallKind::kStream && sentAt &&
-         aNow - *sentAt >= m_state->m_options.m_maxStreamOverlap;
+  return std::any_of(
+    m_standbys.begin(), m_standbys.end(), [&](const auto& aStandby) {
+      const std::optional<Instant> sentAt = aStandby->SentAt();
+      return sentAt && aNow - *sentAt >= m_state->m_options.m_maxStreamOverlap;
+    });
 }
 
 void
@@ -89,16 +102,16 @@
   if (!m_attempt) {
     return;
   }
-  for (const auto& attempt : { m_attempt, m_standby }) {
-    if (attempt) {
-      attempt->Tick(aNow, aStall);
-    }
-  }
+  ForEachAttempt(
+    [&](UpstreamAttempt& aAttempt) { aAttempt.Tick(aNow, aStall); });
   if (m_idleDeadline) {
     *m_idleDeadline += aStall;
   }
   const bool isDeadlinePassed = aNow >= m_deadline;
-  if (!isDeadlinePassed && !(m_idleDeadline && aNow >= *m_idleDeadline)) {
+  const bool isOverlapOver =
+    m_route->m_kind == CallKind::kStream && IsOverlapOver(aNow);
+  if (!isDeadlinePassed && !isOverlapOver &&
+      !(m_idleDeadline && aNow >= *m_idleDeadline)) {
     m_overdueSince.reset();
     return;
   }
@@ -111,15 +124,16 @@
   }
   if (isDeadlinePassed) {
     m_idleDeadline.reset();
-    m_attempt->Abort(AbortReason::kDeadline);
-    if (m_standby && !m_standby->HasAnswer()) {
-      m_standby->Abort(AbortReason::kDeadline);
-    }
-  } else if (!m_standby) {
-    StartStandby(aNow);
-  } else if (IsOverlapOver(aNow)) {
+    ForEachAttempt([](UpstreamAttempt& aAttempt) {
+      if (!aAttempt.HasAnswer()) {
+        aAttempt.Abort(AbortReason::kDeadline);
+      }
+    });
+  } else if (isOverlapOver) {
     m_idleDeadline.reset();
     m_attempt->Abort(AbortReason::kIdleTimeout);
+  } else if (m_route->m_kind != CallKind::kStream || m_standbys.empty()) {
+    StartStandby(aNow);
   }
 }
 
--- a/lib/Forwarding/UpstreamAttempt.cpp
+++ b/lib/Forwarding/UpstreamAttempt.cpp
@@ -297,6 +297,7 @@
 UpstreamAttempt::NoteHeard()
 {
   m_heardAt = m_state->Now();
+  m_isSilent = false;
   m_onHeard(*this);
 }
 
--- a/lib/Gateway/RequestProgress.cpp
+++ b/lib/Gateway/RequestProgress.cpp
@@ -43,8 +43,8 @@
 bool
 RequestProgress::MaySendBeside() const
 {
-  return m_inFlight == 1 && m_sends < kMaxSends && m_mayRepeat &&
-         m_mayHaveRunCount + 1 < m_maxAttempts;
+  return m_inFlight > 0 && m_sends < kMaxSends && m_mayRepeat &&
+         m_mayHaveRunCount + m_inFlight < m_maxAttempts;
 }
 
 } // namespace bergamotpaddle
--- a/unittests/Gateway/RequestProgressTest.cpp
+++ b/unittests/Gateway/RequestProgressTest.cpp
@@ -129,6 +129,16 @@
     CHECK(progress.MaySendAgain());
   }
 
+  SECTION("may be at a third one if its route allows three")
+  {
+    RequestProgress three(CallKind::kRepeatable, false, 3);
+    three.NoteSending(kFirst);
+    three.NoteSending(kSecond);
+    REQUIRE(three.MaySendBeside());
+    three.NoteSending(UpstreamId("u3"));
+    CHECK_FALSE(three.MaySendBeside());
+  }
+
   SECTION("must not run twice if it may run only once")
   {
     RequestProgress once(CallKind::kRunOnce, false, 2);
