--- a/lib/Forwarding/RequestTimeouts.cpp
+++ b/lib/Forwarding/RequestTimeouts.cpp
@@ -32,23 +32,31 @@
 }
 
 void
-RequestRun::ArmIdleTimeout(Duration aTimeout)
+RequestRun::ArmIdleTimeout(Instant aSince)
 {
-  m_idleDeadline = m_state->Now() + aTimeout;
+  if (const std::optional<Duration> timeout = ResponseTimeout()) {
+    m_idleDeadline = aSince + *timeout;
+  }
 }
 
 void
-RequestRun::NoteUpstreamHeard()
-{
-  m_upstreamHeardAt = m_state->Now();
-  m_isSilenceNoted = false;
-}
-
-bool
-RequestRun::ReserveFailover(Instant aNow)
+RequestRun::StartStandby(Instant aNow)
 {
+  const bool isNewSilence = m_attempt->NoteSilence();
+  if (isNewSilence) {
+    // The request stays, but later ones should avoid the silent upstream.
+    m_state->m_upstreams.NoteOutcome(
+      m_attempt->Upstream(), ExchangeOutcome::kUnreachable, aNow);
+  }
+  for (const auto& standby : m_standbys) {
+    if (standby->SentAt() && standby->NoteSilence()) {
+      m_state->m_upstreams.NoteOutcome(
+        standby->Upstream(), ExchangeOutcome::kUnreachable, aNow);
+    }
+  }
+  m_idleDeadline = aNow + m_state->m_options.m_failoverCheckInterval;
   if (m_state->m_quarantine.RefusedFor(m_request.m_parts, aNow)) {
-    return false; // No upstream may get the request any more.
+    return; // No upstream may get the request any more.
   }
   Failover failover(
     m_state->m_upstreams, m_state->m_placement, m_state->m_retries);
@@ -57,50 +65,76 @@
                      MakePlacementRequest(aNow),
                      m_state->m_options.m_minTimeLeft,
                      aNow);
-  if (result.m_verdict == FailoverResult::Verdict::kReserved) {
-    m_reservedChoice = result.m_choice;
-    return true;
-  }
-  if (!std::exchange(m_isSilenceNoted, true)) {
-    // The request stays, but later ones should avoid the silent upstream.
-    m_state->m_upstreams.NoteOutcome(
-      m_choice.m_upstream, ExchangeOutcome::kUnreachable, aNow);
-    m_state->Log(LogLine("exchange.silent")
-                   .Text("request", m_request.m_attemptId)
-                   .Text("upstream", m_choice.m_upstream.Str())
-                   .Text("lacks", Describe(result.m_verdict))
-                   .Milliseconds("silent_ms", aNow - m_upstreamHeardAt));
+  if (result.m_verdict != FailoverResult::Verdict::kReserved) {
+    if (isNewSilence) {
+      m_state->Log(LogLine("exchange.silent")
+                     .Text("request", m_request.m_attemptId)
+                     .Text("upstream", m_attempt->Upstream().Str())
+                     .Text("lacks", Describe(result.m_verdict))
+                     .Milliseconds("silent_ms", aNow - m_attempt->HeardAt()));
+    }
+    return;
   }
-  return false;
+  ArmIdleTimeout(aNow);
+  const std::shared_ptr<UpstreamAttempt> standby =
+    MakeAttempt(result.m_choice, aNow);
+  m_standbys.push_back(standby);
+  LogFailover(*standby, "started");
+  standby->AdvanceInBackground(
+    [this, attempt = standby.get()](AttemptStep aStep) {
+      NoteStandbyStep(*attempt, aStep);
+    });
+}
+
+bool
+RequestRun::IsOverlapOver(Instant aNow) const
+{
+  return std::any_of(
+    m_standbys.begin(), m_standbys.end(), [&](const auto& aStandby) {
+      const std::optional<Instant> sentAt = aStandby->SentAt();
+      return sentAt && aNow - *sentAt >= m_state->m_options.m_maxStreamOverlap;
+    });
 }
 
 void
 RequestRun::Tick(Instant aNow, Duration aStall)
 {
-  if (!m_exchange) {
+  if (!m_attempt) {
     return;
   }
+  ForEachAttempt(
+    [&](UpstreamAttempt& aAttempt) { aAttempt.Tick(aNow, aStall); });
   if (m_idleDeadline) {
     *m_idleDeadline += aStall;
   }
   const bool isDeadlinePassed = aNow >= m_deadline;
-  if (!isDeadlinePassed && !(m_idleDeadline && aNow >= *m_idleDeadline)) {
+  const bool isOverlapOver =
+    m_route->m_kind == CallKind::kStream && IsOverlapOver(aNow);
+  if (!isDeadlinePassed && !isOverlapOver &&
+      !(m_idleDeadline && aNow >= *m_idleDeadline)) {
     m_overdueSince.reset();
     return;
   }
   if (!m_overdueSince) {
     m_overdueSince = aNow;
   }
-  if (m_exchange->HasUnreadBytes() && aNow - *m_overdueSince < kMaxOverdue) {
+  if (m_attempt->Exchange().HasUnreadBytes() &&
+      aNow - *m_overdueSince < kMaxOverdue) {
     return;
   }
-  if (!isDeadlinePassed && m_isRequestSent && !ReserveFailover(aNow)) {
-    ArmIdleTimeout(m_state->m_options.m_failoverCheckInterval);
-    return;
+  if (isDeadlinePassed) {
+    m_idleDeadline.reset();
+    ForEachAttempt([](UpstreamAttempt& aAttempt) {
+      if (!aAttempt.HasAnswer()) {
+        aAttempt.Abort(AbortReason::kDeadline);
+      }
+    });
+  } else if (isOverlapOver) {
+    m_idleDeadline.reset();
+    m_attempt->Abort(AbortReason::kIdleTimeout);
+  } else if (m_route->m_kind != CallKind::kStream || m_standbys.empty()) {
+    StartStandby(aNow);
   }
-  m_idleDeadline.reset();
-  m_exchange->Abort(isDeadlinePassed ? AbortReason::kDeadline
-                                     : AbortReason::kIdleTimeout);
 }
 
 } // namespace bergamotpaddle
