Net: report connections that close within the head of a response

Today a response that broke off in its head leaves either nothing or a request that ended well with an empty body, so the logs can't tell it from an upstream that had nothing to say. HttpClient now reports it with method, server and status; the processes log `response_head_truncated` and count `http_truncated_heads_total`. What callers get is unchanged.

The head is complete once libcurl has passed the empty line that ends the final response to CURLOPT_HEADERFUNCTION.

The log line and the metric were compiled, not run.

--- a/include/bergamotpaddle/Daemon/ProcessRuntime.h
+++ b/include/bergamotpaddle/Daemon/ProcessRuntime.h
@@ -85,11 +85,13 @@
                     const HttpResponderPtr& aResponder);
   std::string Metrics();
   void OnFrame(LinkId aLink, const std::string& aFrame);
+  void OnTruncatedHead(const TruncatedHead& aHead);
 
   ProcessSettings m_settings;
   Kernel m_kernel;
   RoleHooks m_role;
   std::unique_ptr<HttpServer> m_server;
+  std::uint64_t m_truncatedHeads = 0; ///< Responses that ended in their heads.
   bool m_isStopping = false;
 };
 
--- a/include/bergamotpaddle/Net/HttpClient.h
+++ b/include/bergamotpaddle/Net/HttpClient.h
@@ -40,6 +40,16 @@
   bool HasResponse() const { return m_status != 0; }
 };
 
+/// A response whose connection closed after its status line and before the end
+/// of its head.
+struct TruncatedHead
+{
+  std::string m_method; ///< Of the call.
+  std::string m_server; ///< Scheme, host and port of the call's URL.
+  int m_status = 0;     ///< From the last status line, which may be interim.
+  auto operator<=>(const TruncatedHead&) const = default;
+};
+
 /// Identifies a call in flight.
 using HttpCallId = std::uint64_t;
 
@@ -51,8 +61,10 @@
   using Executor = std::function<void(std::function<void()>)>;
   using DoneHook = std::function<void(HttpReply)>;
   using ChunkHook = std::function<void(std::string)>;
+  using TruncationHook = std::function<void(const TruncatedHead&)>;
 
-  explicit HttpClient(Executor aExecutor);
+  explicit HttpClient(Executor aExecutor,
+                      TruncationHook aOnTruncatedHead = nullptr);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/lib/Daemon/ProcessRuntime.cpp
+++ b/lib/Daemon/ProcessRuntime.cpp
@@ -58,7 +58,10 @@
   m_kernel.Add<Log>(service_name::kLog,
                     m_settings.m_name,
                     ParseLogLevel(m_settings.m_logLevel));
-  m_kernel.Add<HttpClient>(service_name::kHttpClient, executor);
+  m_kernel.Add<HttpClient>(
+    service_name::kHttpClient, executor, [this](const TruncatedHead& aHead) {
+      OnTruncatedHead(aHead);
+    });
   m_kernel.Add<KeyValueCallCounts>(service_name::kKeyValueCounts);
   LinkHooks links;
   links.m_opened = [this](LinkId aLink) { m_role.m_opened(aLink); };
@@ -121,6 +124,18 @@
   m_role.m_message(aLink, envelope->m_message);
 }
 
+void
+ProcessRuntime::OnTruncatedHead(const TruncatedHead& aHead)
+{
+  ++m_truncatedHeads;
+  m_kernel.Find<Log>(service_name::kLog)
+    .Write(LogLevel::kWarn,
+           "response_head_truncated",
+           { { "method", aHead.m_method },
+             { "server", aHead.m_server },
+             { "status", std::to_string(aHead.m_status) } });
+}
+
 int
 ProcessRuntime::Run(RoleHooks aHooks)
 {
@@ -285,6 +300,10 @@
                        "counter",
                        "Calls to the key-value service that had no answer.",
                        static_cast<double>(counts.m_unavailable));
+  metrics.SingleSample("http_truncated_heads_total",
+                       "counter",
+                       "Responses to this process that ended in their heads.",
+                       static_cast<double>(m_truncatedHeads));
   const auto& links = m_kernel.Find<LinkHub>(service_name::kLinks);
   metrics
     .Family("link_bytes_total", "counter", "Bytes on links between processes.")
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -13,6 +13,7 @@
 constexpr int kPollMilliseconds = 1000;
 constexpr long kMaxPersistentConnections = 64;
 constexpr std::size_t kMaxBodyBytes = 64U << 20U;
+constexpr int kFirstFinalStatus = 200;
 
 /// A call with its libcurl handle; owned by the client's thread once started.
 struct Transfer
@@ -25,6 +26,7 @@
   CURL* m_easy = nullptr;
   curl_slist* m_headerList = nullptr;
   HttpReply m_reply;
+  bool m_isHeadComplete = false;
 
   ~Transfer()
   {
@@ -43,6 +45,20 @@
   return status;
 }
 
+/// Gets each line of a head, with its line end, once it is complete.
+std::size_t
+OnHeadLine(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
+{
+  auto* transfer = static_cast<Transfer*>(aTransfer);
+  const std::string_view line(aData, aSize * aCount);
+  // The empty line that ends an interim response is followed by another head.
+  if ((line.starts_with('\r') || line.starts_with('\n')) &&
+      StatusOf(transfer->m_easy) >= kFirstFinalStatus) {
+    transfer->m_isHeadComplete = true;
+  }
+  return line.size();
+}
+
 std::size_t
 OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
 {
@@ -61,6 +77,16 @@
   return bytes;
 }
 
+/// Returns the scheme, host and port of \p aUrl.
+std::string
+ServerOf(const std::string& aUrl)
+{
+  const std::string separator = "://";
+  const std::size_t at = aUrl.find(separator);
+  const std::size_t begin = at == std::string::npos ? 0 : at + separator.size();
+  return aUrl.substr(0, aUrl.find('/', begin));
+}
+
 void
 SetOptions(Transfer& aTransfer)
 {
@@ -77,6 +103,8 @@
                    static_cast<long>(call.m_connectTimeout.count()));
   curl_easy_setopt(
     easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.m_totalTimeout.count()));
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeadLine);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aTransfer);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
   if (call.m_useNewConnection) {
@@ -106,8 +134,9 @@
 class HttpClient::Impl
 {
 public:
-  explicit Impl(Executor aExecutor)
+  Impl(Executor aExecutor, TruncationHook aOnTruncatedHead)
     : m_executor(std::move(aExecutor))
+    , m_onTruncatedHead(std::move(aOnTruncatedHead))
   {
     curl_global_init(CURL_GLOBAL_DEFAULT);
     m_multi = curl_multi_init();
@@ -220,10 +249,25 @@
         transfer.m_reply.m_isUnsent =
           code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
       }
+      if (code != CURLE_OPERATION_TIMEDOUT) {
+        ReportTruncatedHead(transfer);
+      }
       Finish(easy);
     }
   }
 
+  void ReportTruncatedHead(const Transfer& aTransfer)
+  {
+    const auto status = static_cast<int>(StatusOf(aTransfer.m_easy));
+    if (aTransfer.m_isHeadComplete || status == 0 || !m_onTruncatedHead) {
+      return;
+    }
+    m_executor([hook = m_onTruncatedHead,
+                head = TruncatedHead{ aTransfer.m_call.m_method,
+                                      ServerOf(aTransfer.m_call.m_url),
+                                      status }] { hook(head); });
+  }
+
   void Finish(CURL* aEasy)
   {
     auto found = m_transfers.find(aEasy);
@@ -236,6 +280,7 @@
   }
 
   Executor m_executor;
+  TruncationHook m_onTruncatedHead;
   CURLM* m_multi = nullptr;
   std::thread m_thread;
   std::atomic<bool> m_isShuttingDown = false;
@@ -248,8 +293,9 @@
   std::map<HttpCallId, CURL*> m_byId;
 };
 
-HttpClient::HttpClient(Executor aExecutor)
-  : m_impl(std::make_unique<Impl>(std::move(aExecutor)))
+HttpClient::HttpClient(Executor aExecutor, TruncationHook aOnTruncatedHead)
+  : m_impl(
+      std::make_unique<Impl>(std::move(aExecutor), std::move(aOnTruncatedHead)))
 {
 }
 
