Net: a response whose head broke off is no response

What callers saw: a service that closed its connection within the head of a response left them with a 200 and an empty body, framed as whole. The call was billed and, if it must run once, remembered under its idempotency key, since the service client reported it as executed with code 0.

Cause: libcurl takes the end of the connection as the end of the head and returns CURLE_OK, unless a complete Content-Length or Transfer-Encoding line has arrived. HttpClient took CURLE_OK and the status line as a response.

Evidence: CutResponseHeadTest closes the connection after every byte of responses with a length, with chunks and without framing, with and without interim responses, on new and on kept connections; CutResponseHeadUsersTest cuts heads of 200, 404, 409 and 503 in eight ways for each user.

Why the fix works: libcurl passes the empty line that ends a head only if it has arrived, so a response counts only after that line of a final response. Otherwise the call has an error and may have run. libcurl resends a call only if no complete line has arrived on a kept connection; calls that must run once don't use one.

The users: a write at the key-value service answered with a cut 409 was taken as "nothing was written", which a broken connection doesn't prove; it is now Unavailable, as any write without an answer. An empty 200 never counted as a write, as it isn't JSON, but wasn't counted in kv_unavailable_total. The engine client was sound: it needs the end mark. A process that answers the operator's client with a cut head is null, as documented, no longer a discarded value. The health check of a server with a cut head fails now (by reading).

The last line feed of a chunked body may be missing: body and trailer are whole then, and libcurl accepts it.

--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -242,8 +242,11 @@
       CURL* easy = message->easy_handle;
       const CURLcode code = message->data.result;
       Transfer& transfer = *m_transfers.at(easy);
-      if (code == CURLE_OK) {
+      if (code == CURLE_OK && transfer.m_isHeadComplete) {
         transfer.m_reply.m_status = static_cast<int>(StatusOf(easy));
+      } else if (code == CURLE_OK) {
+        // libcurl takes the end of the connection as the end of the head.
+        transfer.m_reply.m_error = "the connection closed within the head";
       } else {
         transfer.m_reply.m_error = curl_easy_strerror(code);
         transfer.m_reply.m_isUnsent =
--- a/unittests/Net/CutResponseHeadTest.cpp
+++ b/unittests/Net/CutResponseHeadTest.cpp
@@ -55,6 +55,73 @@
 
 } // namespace
 
+TEST_CASE("a response that breaks off is no response", "[net][broken]")
+{
+  HttpClient client([](std::function<void()> aTask) { aTask(); });
+  const std::string interim = GENERATE(as<std::string>{}, "", kInterim);
+  const auto [response, end] = GENERATE(table<std::string, std::size_t>({
+    { kWithLength, kWithLength.size() },
+    // Without its last line feed, the body and the trailer are still whole.
+    { kChunked, kChunked.size() - 1 },
+    // The end of the connection ends an unframed body, so its head counts.
+    { kUnframed, kUnframed.find('{') },
+  }));
+  const std::string whole = interim + response;
+  const std::size_t cuts = interim.size() + end;
+
+  SECTION("wherever the connection closes")
+  {
+    const bool isOnNewConnection = GENERATE(true, false);
+    std::vector<ScriptedServer::Script> scripts;
+    for (std::size_t size = 0; size < cuts; ++size) {
+      scripts.push_back({ StartOf(whole, size) });
+    }
+    ScriptedServer server(scripts);
+    HttpCall call = Post(server);
+    call.m_useNewConnection = isOnNewConnection;
+    for (std::size_t size = 0; size < cuts; ++size) {
+      const HttpReply reply = CallAndWait(client, call);
+      INFO(StartOf(whole, size));
+      CHECK_FALSE(reply.HasResponse());
+      CHECK_FALSE(reply.m_error.empty());
+      CHECK_FALSE(reply.m_isUnsent);
+    }
+    CHECK(server.Requests() == static_cast<int>(cuts));
+  }
+
+  SECTION("after another response on the same connection")
+  {
+    for (std::size_t size = 0; size < cuts; ++size) {
+      // libcurl sends a call again if it got nothing on a connection in use.
+      ScriptedServer server({ { kWithLength, true },
+                              { StartOf(whole, size) },
+                              { StartOf(whole, size) } });
+      CHECK(CallAndWait(client, Post(server)).HasResponse());
+      const HttpReply reply = CallAndWait(client, Post(server));
+      INFO(StartOf(whole, size));
+      CHECK_FALSE(reply.HasResponse());
+      CHECK_FALSE(reply.m_error.empty());
+      CHECK_FALSE(reply.m_isUnsent);
+    }
+  }
+
+  SECTION("and the next call on a new connection gets a whole one")
+  {
+    for (std::size_t size = 0; size < cuts; ++size) {
+      ScriptedServer server({ { kWithLength, true },
+                              { StartOf(whole, size) },
+                              { whole },
+                              { whole } });
+      CHECK(CallAndWait(client, Post(server)).HasResponse());
+      CallAndWait(client, Post(server));
+      const HttpReply reply = CallAndWait(client, Post(server));
+      INFO(StartOf(whole, size));
+      CHECK(reply.m_status == 200);
+      CHECK(reply.m_body == "{\"whole\": 1}");
+    }
+  }
+}
+
 TEST_CASE("a connection that closes within a head is reported", "[net][broken]")
 {
   std::promise<TruncatedHead> reported;
--- /dev/null
+++ b/unittests/Net/CutResponseHeadUsersTest.cpp
@@ -0,0 +1,194 @@
+/// \file
+/// Tests of what the users of the HTTP client do with a response whose
+/// connection closed within the head.
+#include "ScriptedServer.h"
+
+#include "bergamotpaddle/Operator/Session.h"
+#include "bergamotpaddle/Platform/HttpKeyValue.h"
+#include "bergamotpaddle/Upstream/UpstreamClient.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+
+using namespace bergamotpaddle;
+
+namespace {
+
+/// Heads of \p aStatus that break off after the status line.
+std::vector<std::string>
+CutHeads(const std::string& aStatus)
+{
+  const std::string line = "HTTP/1.1 " + aStatus + "\r\n";
+  return { line,
+           line + "Content-Ty",
+           line + "Content-Type: application/json\r\n",
+           line + "Content-Length: 1",
+           line + "Content-Length: 12\r\n",
+           line + "Transfer-Encoding: chunked\r\n",
+           line + "\r",
+           "HTTP/1.1 100 Continue\r\n\r\n" + line };
+}
+
+std::string
+AnyCutHead()
+{
+  return GENERATE_COPY(from_range(CutHeads("200 OK")),
+                       from_range(CutHeads("404 Not Found")),
+                       from_range(CutHeads("409 Conflict")),
+                       from_range(CutHeads("503 Busy")));
+}
+
+/// Result of one run.
+struct RunResult
+{
+  std::string m_data;
+  UpstreamOutcome m_outcome;
+};
+
+/// Runs \p aDispatch with the client that \p aMake creates.
+RunResult
+Run(const decltype(&MakeServiceClient)& aMake,
+    const std::string& aUrl,
+    const Dispatch& aDispatch)
+{
+  HttpClient http([](std::function<void()> aTask) { aTask(); });
+  RunResult result;
+  std::promise<void> ended;
+  UpstreamHooks hooks;
+  hooks.m_data = [&](RunId, const std::string& aBytes, std::uint64_t) {
+    result.m_data += aBytes;
+  };
+  hooks.m_end = [&](RunId, const UpstreamOutcome& aOutcome) {
+    result.m_outcome = aOutcome;
+    ended.set_value();
+  };
+  const auto client = aMake(http, aUrl, hooks);
+  client->Start(RunId{ 1 }, aDispatch);
+  ended.get_future().wait();
+  return result;
+}
+
+Dispatch
+Call()
+{
+  Dispatch dispatch;
+  dispatch.m_key = RequestKey("key");
+  dispatch.m_account = AccountId("account");
+  dispatch.m_method = "POST";
+  dispatch.m_path = "/call";
+  dispatch.m_body = "{}";
+  return dispatch;
+}
+
+} // namespace
+
+TEST_CASE("a service whose connection closes within the head",
+          "[upstream][broken]")
+{
+  const std::string head = AnyCutHead();
+  INFO(head);
+  ScriptedServer server({ { head } });
+  Dispatch dispatch = Call();
+
+  SECTION("has failed, and a call that may run again may have run")
+  {
+    const RunResult result = Run(MakeServiceClient, server.Url(), dispatch);
+    CHECK(result.m_outcome.m_code == ResultCode::kUpstreamFailed);
+    CHECK(result.m_outcome.m_ran == Ran::kUnknown);
+  }
+
+  SECTION("leaves the outcome of a call that must run once unknown")
+  {
+    dispatch.m_repeatable = false;
+    const RunResult result = Run(MakeServiceClient, server.Url(), dispatch);
+    CHECK(result.m_outcome.m_code == ResultCode::kOutcomeUnknown);
+    CHECK(result.m_outcome.m_ran == Ran::kUnknown);
+    CHECK(server.Requests() == 1);
+  }
+}
+
+TEST_CASE("an engine whose connection closes within the head",
+          "[upstream][broken]")
+{
+  const std::string head = AnyCutHead();
+  INFO(head);
+  ScriptedServer server({ { head } });
+  const RunResult result = Run(MakeEngineClient, server.Url(), Call());
+  CHECK(result.m_outcome.m_code == ResultCode::kUpstreamFailed);
+  CHECK(result.m_data.empty());
+}
+
+TEST_CASE("a key-value service whose connection closes within the head",
+          "[kv][broken]")
+{
+  const std::string head = AnyCutHead();
+  INFO(head);
+  ScriptedServer server({ { head } });
+  HttpClient http([](std::function<void()> aTask) { aTask(); });
+  KeyValueCallCounts counts;
+  const KeyValueHooks service = MakeHttpKeyValue(http, server.Url(), counts);
+  std::promise<absl::Status> promise;
+  const auto done = [&promise](const auto& aResult) {
+    promise.set_value(aResult.status());
+  };
+
+  SECTION("may have written")
+  {
+    SECTION("a value")
+    {
+      service.m_compareAndSwap("k", 6, "v", done);
+    }
+    SECTION("a removal")
+    {
+      service.m_compareAndSwap("k", 6, std::nullopt, done);
+    }
+    SECTION("a lease")
+    {
+      service.m_keepAlive("k", "v", std::chrono::seconds(1), done);
+    }
+  }
+  SECTION("has not answered")
+  {
+    SECTION("a read")
+    {
+      service.m_get("k", done);
+    }
+    SECTION("a list")
+    {
+      service.m_list("k/", done);
+    }
+    SECTION("a watch")
+    {
+      service.m_watch("k", 6, done);
+    }
+  }
+  const absl::Status status = promise.get_future().get();
+  CHECK(absl::IsUnavailable(status));
+  CHECK(counts.m_unavailable == 1);
+}
+
+TEST_CASE("processes whose connections close within the head",
+          "[operator][broken]")
+{
+  const std::string head = AnyCutHead();
+  INFO(head);
+  ScriptedServer cut({ { head } });
+  ScriptedServer whole(
+    { { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}" } });
+  Session session({ cut.Url(), "secret", { cut.Url(), whole.Url() } });
+
+  SECTION("do not respond")
+  {
+    const auto responses = session.QueryAll("/admin/status");
+    REQUIRE(responses.size() == 2);
+    CHECK(responses[0].is_null());
+    CHECK(responses[1].is_object());
+  }
+
+  SECTION("have not read a key")
+  {
+    absl::Status status;
+    CHECK(session.Get("k", status) == KeyValueEntry{});
+    CHECK(absl::IsUnavailable(status));
+  }
+}
