--- a/unittests/Net/CutResponseHeadTest.cpp
+++ b/unittests/Net/CutResponseHeadTest.cpp
@@ -174,6 +174,24 @@
   }
 }
 
+TEST_CASE("an unframed response whose connection is reset is no response",
+          "[net][broken]")
+{
+  HttpClient client([](std::function<void()> aTask) { aTask(); });
+  // The second one is more than the socket buffers of both ends take.
+  const std::size_t bodySize = GENERATE(10, 64 * 1024 * 1024);
+  const std::string body = GENERATE(as<std::string>{}, "", "part");
+  INFO(bodySize << " " << body);
+  ScriptedServer server(
+    { { "HTTP/1.1 200 OK\r\n\r\n" + body, false, true, true } });
+  HttpCall call = Post(server);
+  call.m_body.assign(bodySize, 'x');
+  const HttpReply reply = CallAndWait(client, call);
+  CHECK_FALSE(reply.HasResponse());
+  CHECK_FALSE(reply.m_error.empty());
+  CHECK_FALSE(reply.m_isUnsent);
+}
+
 TEST_CASE("a response with a whole head is a response", "[net][broken]")
 {
   HttpClient client([](std::function<void()> aTask) { aTask(); });
--- a/unittests/Net/ScriptedServer.h
+++ b/unittests/Net/ScriptedServer.h
@@ -26,6 +26,9 @@
   {
     std::string m_bytes;
     bool m_isKeptOpen = false; ///< The connection serves the next script too.
+    /// Close the connection with a TCP reset, after the bytes have arrived.
+    bool m_isReset = false;
+    bool m_isEarly = false; ///< Sent before the request's body is read.
   };
 
   explicit ScriptedServer(std::vector<Script> aScripts)
@@ -65,9 +68,16 @@
     }
   }
 
-  /// Reads a request whose head and body arrive together or in sequence.
-  /// Returns false at the end of the connection.
-  static boost::asio::awaitable<bool> ReadRequest(Tcp::socket& aSocket)
+  /// The script for the next request.
+  Script NextScript() const
+  {
+    const auto index = static_cast<std::size_t>(m_requests);
+    return index < m_scripts.size() ? m_scripts[index] : Script();
+  }
+
+  /// Reads a request, or its start if the response is early. Returns false at
+  /// the end of the connection.
+  boost::asio::awaitable<bool> ReadRequest(Tcp::socket& aSocket)
   {
     std::string request;
     std::size_t size = std::string::npos;
@@ -89,6 +99,9 @@
           headEnd + 4 +
           (at < headEnd ? std::stoul(request.substr(at + name.size())) : 0);
       }
+      if (NextScript().m_isEarly) {
+        break;
+      }
     }
     co_return true;
   }
@@ -97,14 +110,21 @@
   {
     bool isOpen = co_await ReadRequest(aSocket);
     while (isOpen) {
-      const std::size_t index = m_requests++;
-      const Script script =
-        index < m_scripts.size() ? m_scripts[index] : Script();
+      const Script script = NextScript();
+      ++m_requests;
       boost::system::error_code error;
       co_await boost::asio::async_write(
         aSocket,
         boost::asio::buffer(script.m_bytes),
         boost::asio::redirect_error(boost::asio::use_awaitable, error));
+      if (script.m_isReset) {
+        // The reset discards bytes that the client has not received yet.
+        boost::asio::steady_timer timer(m_io, std::chrono::milliseconds(100));
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        aSocket.set_option(boost::asio::socket_base::linger(true, 0), error);
+        aSocket.close(error);
+        co_return;
+      }
       isOpen = !error && script.m_isKeptOpen && co_await ReadRequest(aSocket);
     }
   }
