Upstream: an empty success that ends with its connection is no answer

What callers saw: a call to a service that crashed after the head of its response, without a length, chunks or a byte of the body, ended with status 200 and an empty body, was billed and, if it must run once, remembered under its idempotency key.

Cause: the end of a connection ends an unframed body, and the system also closes the connections of a process that crashed.

Why the fix works: HttpClient marks such a response, and the service client needs a byte of the body, a length or chunks before it takes a success as the answer. Empty bodies with a length of 0 or a last chunk, 204, redirections and client errors are passed on as before (same test).

Looked at elsewhere: the key-value client rejects an empty body, the engine client needs its end mark, the operator's client an object. A health check takes such a 200: it says enough that the server is up. An unframed body that was begun and closed cleanly can't be told from a whole one.

--- a/include/bergamotpaddle/Net/HttpClient.h
+++ b/include/bergamotpaddle/Net/HttpClient.h
@@ -36,6 +36,9 @@
   std::string m_error; ///< Why there is no complete response.
   bool m_isUnsent =
     false; ///< The remote endpoint cannot have received the call.
+  /// A success whose body has neither a length nor chunks nor a byte: nothing
+  /// tells an empty body from a server that crashed after the head.
+  bool m_isBare = false;
 
   bool HasResponse() const { return m_status != 0; }
 };
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -14,6 +14,8 @@
 constexpr long kMaxPersistentConnections = 64;
 constexpr std::size_t kMaxBodyBytes = 64U << 20U;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kFirstRedirection = 300;
 
 /// A call with its libcurl handle; owned by the client's thread once started.
 struct Transfer
@@ -45,6 +47,24 @@
   return status;
 }
 
+/// Whether the response is a success whose body is empty and ended with the
+/// connection.
+bool
+IsBare(CURL* aEasy)
+{
+  const long status = StatusOf(aEasy);
+  curl_off_t received = 0;
+  curl_easy_getinfo(aEasy, CURLINFO_SIZE_DOWNLOAD_T, &received);
+  curl_off_t length = 0;
+  curl_easy_getinfo(aEasy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+  curl_header* ignored = nullptr;
+  const bool hasTransferEncoding =
+    curl_easy_header(
+      aEasy, "Transfer-Encoding", 0, CURLH_HEADER, -1, &ignored) == CURLHE_OK;
+  return status < kFirstRedirection && status != kNoContent && received == 0 &&
+         length < 0 && !hasTransferEncoding;
+}
+
 /// Gets each line of a head, with its line end, once it is complete.
 std::size_t
 OnHeadLine(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
@@ -244,6 +264,7 @@
       Transfer& transfer = *m_transfers.at(easy);
       if (code == CURLE_OK && transfer.m_isHeadComplete) {
         transfer.m_reply.m_status = static_cast<int>(StatusOf(easy));
+        transfer.m_reply.m_isBare = IsBare(easy);
       } else if (code == CURLE_OK) {
         // libcurl takes the end of the connection as the end of the head.
         transfer.m_reply.m_error = "the connection closed within the head";
--- a/lib/Upstream/ServiceClient.cpp
+++ b/lib/Upstream/ServiceClient.cpp
@@ -52,15 +52,16 @@
   {
     m_calls.erase(aRun);
     UpstreamOutcome outcome;
-    if (aReply.HasResponse() && aReply.m_status < kFirstServerError) {
+    if (aReply.HasResponse() && !aReply.m_isBare &&
+        aReply.m_status < kFirstServerError) {
       outcome.m_httpStatus = aReply.m_status;
       outcome.m_contentType = "application/json";
       m_hooks.m_data(aRun, aReply.m_body, 0);
       m_hooks.m_end(aRun, outcome);
       return;
     }
-    // Without a response, or after a server error, the call may have run: only
-    // a call that was never sent proves that it did not.
+    // Without a whole response, or after a server error, the call may have run:
+    // only a call that was never sent proves that it did not.
     outcome.m_code = aIsRepeatable || aReply.m_isUnsent
                        ? ResultCode::kUpstreamFailed
                        : ResultCode::kOutcomeUnknown;
--- a/unittests/Net/CutResponseHeadUsersTest.cpp
+++ b/unittests/Net/CutResponseHeadUsersTest.cpp
@@ -107,6 +107,69 @@
   }
 }
 
+TEST_CASE("a service whose connection closes after the head",
+          "[upstream][broken]")
+{
+  const std::string line = GENERATE(as<std::string>{},
+                                    "HTTP/1.1 200 OK\r\n",
+                                    "HTTP/1.1 201 Created\r\n",
+                                    "HTTP/1.0 200 OK\r\n");
+  const std::string fields = GENERATE(as<std::string>{},
+                                      "",
+                                      "Content-Type: application/json\r\n",
+                                      "Connection: close\r\n");
+  Dispatch dispatch = Call();
+  dispatch.m_repeatable = GENERATE(true, false);
+  const int status = std::stoi(line.substr(9, 3));
+  const auto call = [&](const std::string& aResponse) {
+    INFO(aResponse);
+    ScriptedServer server({ { aResponse } });
+    return Run(MakeServiceClient, server.Url(), dispatch);
+  };
+
+  // Regression: a service that crashed after its head left an empty success.
+  SECTION("has failed if only the connection's end can end the body")
+  {
+    const UpstreamOutcome outcome = call(line + fields + "\r\n").m_outcome;
+    CHECK(outcome.m_code == (dispatch.m_repeatable
+                               ? ResultCode::kUpstreamFailed
+                               : ResultCode::kOutcomeUnknown));
+    CHECK(outcome.m_ran == Ran::kUnknown);
+  }
+
+  SECTION("has answered if the body has begun")
+  {
+    const RunResult result = call(line + fields + "\r\nbody");
+    CHECK(result.m_outcome.m_code == ResultCode::kOk);
+    CHECK(result.m_outcome.m_httpStatus == status);
+    CHECK(result.m_data == "body");
+  }
+
+  SECTION("has answered if the head shows that the body is empty")
+  {
+    const std::string framing =
+      GENERATE(as<std::string>{},
+               "Content-Length: 0\r\n\r\n",
+               "content-length:0\r\n\r\n",
+               "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    const RunResult result = call(line + fields + framing);
+    CHECK(result.m_outcome.m_code == ResultCode::kOk);
+    CHECK(result.m_outcome.m_httpStatus == status);
+    CHECK(result.m_data.empty());
+  }
+
+  SECTION("has answered if the status never has a body, or is an error")
+  {
+    const auto [other, otherStatus] = GENERATE(
+      table<std::string, int>({ { "HTTP/1.1 204 No Content\r\n", 204 },
+                                { "HTTP/1.1 302 Found\r\n", 302 },
+                                { "HTTP/1.1 404 Not Found\r\n", 404 } }));
+    const RunResult result = call(other + fields + "\r\n");
+    CHECK(result.m_outcome.m_code == ResultCode::kOk);
+    CHECK(result.m_outcome.m_httpStatus == otherStatus);
+  }
+}
+
 TEST_CASE("an engine whose connection closes within the head",
           "[upstream][broken]")
 {
