Platform: a key-value response of another form is no answer

What callers saw: none was reported. A 200 of the key-value service whose body was JSON but no object (null, a list) or had no entries ended the process, and an object without a revision counted as "the key does not exist" or as a confirmed write at revision 0.

Cause: members were read with defaults, and an exception of the JSON library left the event loop. KeyValueHooks promises Unavailable if no valid response was received.

Why the fix works: members are read with their types, and any other form is Unavailable, with the reason in its message, and counted in kv_unavailable_total. An absent key (revision 0) needs no value.

Found while looking for answers that are none, beside responses that broke off.

--- a/include/bergamotpaddle/Platform/HttpKeyValue.h
+++ b/include/bergamotpaddle/Platform/HttpKeyValue.h
@@ -14,7 +14,7 @@
   std::uint64_t m_reads = 0;
   std::uint64_t m_writes = 0;
   std::uint64_t m_watches = 0;
-  /// Calls without a response or with a status other than 200 and 409.
+  /// Calls without a valid response or with a status other than 200 and 409.
   std::uint64_t m_unavailable = 0;
 };
 
--- a/lib/Platform/HttpKeyValue.cpp
+++ b/lib/Platform/HttpKeyValue.cpp
@@ -16,34 +16,59 @@
 constexpr int kHttpOk = 200;
 constexpr int kHttpConflict = 409;
 
-/// Returns the JSON body of a response with status 200, or an error: `Aborted`
-/// for status 409, else `Unavailable`.
-absl::StatusOr<json>
-ParseResponse(const HttpReply& aResponse, KeyValueCallCounts& aCounts)
+// These readers throw json::exception if a member is missing or has another
+// type.
+
+std::uint64_t
+ReadRevision(const json& aBody)
 {
-  if (aResponse.m_status == kHttpConflict) {
-    return absl::AbortedError("the key is at another revision; read it again");
-  }
-  if (aResponse.m_status != kHttpOk) {
-    ++aCounts.m_unavailable;
-    return absl::UnavailableError(absl::StrCat(
-      "key-value service: ",
-      aResponse.HasResponse() ? absl::StrCat("status ", aResponse.m_status)
-                              : aResponse.m_error));
+  return aBody.at("revision").get_ref<const json::number_unsigned_t&>();
+}
+
+KeyValueEntry
+ReadEntry(const json& aBody)
+{
+  KeyValueEntry entry{ ReadRevision(aBody), {} };
+  if (entry.m_revision != 0) {
+    entry.m_value = aBody.at("value").get_ref<const std::string&>();
   }
-  json body = json::parse(aResponse.m_body, nullptr, false);
-  if (body.is_discarded()) {
-    return absl::UnavailableError(
-      "key-value service: the response is not JSON");
+  return entry;
+}
+
+std::map<std::string, KeyValueEntry>
+ReadEntries(const json& aBody)
+{
+  std::map<std::string, KeyValueEntry> entries;
+  for (const auto& [key, entry] :
+       aBody.at("entries").get_ref<const json::object_t&>()) {
+    entries.emplace(key, ReadEntry(entry));
   }
-  return body;
+  return entries;
 }
 
-KeyValueEntry
-ToEntry(const json& aBody)
+/// Returns what \p aRead reads from the body of a response with status 200, or
+/// an error: `Aborted` for status 409, else `Unavailable`.
+template<typename Result>
+absl::StatusOr<Result>
+ParseResponse(const HttpReply& aResponse,
+              Result (*aRead)(const json&),
+              KeyValueCallCounts& aCounts)
 {
-  return { aBody.value("revision", std::uint64_t{ 0 }),
-           aBody.value("value", std::string()) };
+  if (aResponse.m_status == kHttpConflict) {
+    return absl::AbortedError("the key is at another revision; read it again");
+  }
+  std::string reason = aResponse.HasResponse()
+                         ? absl::StrCat("status ", aResponse.m_status)
+                         : aResponse.m_error;
+  if (aResponse.m_status == kHttpOk) {
+    try {
+      return aRead(json::parse(aResponse.m_body));
+    } catch (const json::exception& error) {
+      reason = absl::StrCat("invalid response: ", error.what());
+    }
+  }
+  ++aCounts.m_unavailable;
+  return absl::UnavailableError(absl::StrCat("key-value service: ", reason));
 }
 
 /// Implements the hooks; each hook holds a copy.
@@ -62,11 +87,7 @@
   void Get(const std::string& aKey, const KeyValueHooks::EntryHook& aDone) const
   {
     ++m_counts->m_reads;
-    Start(MakeCall("GET", "/v1/kv/" + aKey, {}),
-          [aDone](absl::StatusOr<json> aBody) {
-            aDone(aBody.ok() ? absl::StatusOr<KeyValueEntry>(ToEntry(*aBody))
-                             : aBody.status());
-          });
+    Start(MakeCall("GET", "/v1/kv/" + aKey, {}), ReadEntry, aDone);
   }
 
   void CompareAndSwap(const std::string& aKey,
@@ -79,8 +100,7 @@
     if (aValue.has_value()) {
       body["value"] = *aValue;
     }
-    Start(MakeCall("PUT", "/v1/kv/" + aKey, body.dump()),
-          ToRevisionCallback(aDone));
+    Start(MakeCall("PUT", "/v1/kv/" + aKey, body.dump()), ReadRevision, aDone);
   }
 
   void Watch(const std::string& aKey,
@@ -97,28 +117,15 @@
                                           kServerWatchTimeout.count()),
                              {});
     call.m_totalTimeout = kWatchTimeout;
-    Start(std::move(call), [aDone](absl::StatusOr<json> aBody) {
-      aDone(aBody.ok() ? absl::StatusOr<KeyValueEntry>(ToEntry(*aBody))
-                       : aBody.status());
-    });
+    Start(call, ReadEntry, aDone);
   }
 
   void List(const std::string& aPrefix,
             const KeyValueHooks::ListHook& aDone) const
   {
     ++m_counts->m_reads;
-    Start(MakeCall("GET", "/v1/list?prefix=" + aPrefix, {}),
-          [aDone](absl::StatusOr<json> aBody) {
-            if (!aBody.ok()) {
-              aDone(aBody.status());
-              return;
-            }
-            std::map<std::string, KeyValueEntry> entries;
-            for (const auto& [key, entry] : aBody->at("entries").items()) {
-              entries.emplace(key, ToEntry(entry));
-            }
-            aDone(std::move(entries));
-          });
+    Start(
+      MakeCall("GET", "/v1/list?prefix=" + aPrefix, {}), ReadEntries, aDone);
   }
 
   void KeepAlive(const std::string& aKey,
@@ -131,8 +138,8 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(aTimeToLive)
         .count();
     json body = { { "value", aValue }, { "ttl_ms", milliseconds } };
-    Start(MakeCall("PUT", "/v1/lease/" + aKey, body.dump()),
-          ToRevisionCallback(aDone));
+    Start(
+      MakeCall("PUT", "/v1/lease/" + aKey, body.dump()), ReadRevision, aDone);
   }
 
 private:
@@ -149,24 +156,16 @@
     return call;
   }
 
-  void Start(HttpCall aCall,
-             std::function<void(absl::StatusOr<json>)> aDone) const
-  {
-    m_client->Start(
-      std::move(aCall),
-      [done = std::move(aDone), counts = m_counts](const HttpReply& aResponse) {
-        done(ParseResponse(aResponse, *counts));
-      });
-  }
-
-  static std::function<void(absl::StatusOr<json>)> ToRevisionCallback(
-    const KeyValueHooks::RevisionHook& aDone)
+  template<typename Result>
+  void Start(const HttpCall& aCall,
+             Result (*aRead)(const json&),
+             std::function<void(absl::StatusOr<Result>)> aDone) const
   {
-    return [aDone](absl::StatusOr<json> aBody) {
-      aDone(aBody.ok() ? absl::StatusOr<std::uint64_t>(
-                           aBody->value("revision", std::uint64_t{ 0 }))
-                       : aBody.status());
-    };
+    m_client->Start(aCall,
+                    [aRead, done = std::move(aDone), counts = m_counts](
+                      const HttpReply& aResponse) {
+                      done(ParseResponse(aResponse, aRead, *counts));
+                    });
   }
 
   HttpClient* m_client;
