A stopping router lends no credit that it has given back

The damage would be a budget that is overdrawn: a client account gets more than it prepaid.

Cause: a stop writes its grants to the record as closed (CreditBook::PlanStop) and serves other routers until the process has ended. Allot refuses from then on, Lend and LendAsHome did not: a borrower that called in between got credit that the record had freed, and that another router could draw at the same time.

Why it works: a stopped book has no spendable credit, which all ways to lend go through, and borrows none, as it could not return it. A borrower gets an empty loan and asks again, at the next home once this one is gone.

--- a/lib/Gateway/CreditBook.cpp
+++ b/lib/Gateway/CreditBook.cpp
@@ -159,6 +159,9 @@
 CreditBook::TokensToBorrow(Instant aNow) const
 {
   std::map<AccountId, std::uint64_t> requested;
+  if (m_isStopped) {
+    return requested;
+  }
   for (const auto& [account, balance] : m_balances) {
     if (!balance.IsBorrowed() || aNow < balance.m_retryHomeAt) {
       continue;
@@ -399,7 +402,7 @@
 CreditBook::Spendable(const AccountId& aAccount) const
 {
   const auto found = m_balances.find(aAccount);
-  if (found == m_balances.end()) {
+  if (found == m_balances.end() || m_isStopped) {
     return 0;
   }
   const std::uint64_t limit = found->second.Limit();
--- a/unittests/Gateway/CreditBookTest.cpp
+++ b/unittests/Gateway/CreditBookTest.cpp
@@ -134,6 +134,19 @@
     {
       CHECK(first.Allot(kAccount, 1, At(2)) == AllotResult::kNotGranted);
     }
+
+    SECTION("and lends no credit that it has returned")
+    {
+      const std::map<AccountId, std::uint64_t> wanted{ { kAccount, 4'000 } };
+      constexpr double kAll = 1;
+      const std::uint64_t lent =
+        first.LendAsHome(wanted, At(2)).at(kAccount).m_lent;
+      CHECK(first.Lend(wanted, kAll).empty());
+      CHECK(first.TokensToBorrow(At(2)).empty());
+      second.AddWaiter(kAccount, kPrepaid - 3'000);
+      Draw(second, record, At(2));
+      CHECK(3'000 + lent + second.Spendable(kAccount) <= kPrepaid);
+    }
   }
 
   SECTION("reports a budget as exhausted only when that is certain")
