bergamotpaddled answers its callers before the grace of a stop ends

What callers saw: a router that was stopped while work ran longer than its host waits was killed at the end of the grace. The callers' connections were closed without an answer, for calls, bookings and chats alike.

Cause: nothing in a stop of bergamotpaddled knew its end. RouterCore::Retire waited for the requests, each bounded by request_timeout_ms (120 s by default) alone, then for unsettled attempts and for the key-value service, both without bound.

Why it works: the new setting stop_grace_ms is the time until the host kills the process. In the last sixth, where the users' rules count no request that a stop ends, RequestTable::EndAll fails what is left with what is true: 503 and not run if it never was sent, else 504 and may have run. Work that can be cancelled is, so that its charge arrives and the credit goes back. What is not settled 0.6 s before the end is left to the recovery by another router, as after a kill, and logged.

--- a/include/bergamotpaddle/Config/ProcessSettings.h
+++ b/include/bergamotpaddle/Config/ProcessSettings.h
@@ -29,8 +29,10 @@
   std::string m_kv;     ///< Base URL of the key-value service.
   std::string m_secret; ///< Shared by the fleet; also the operators' token.
   std::vector<std::string> m_peers; ///< Router: "IP:port" of other routers.
-  std::string m_hostList;      ///< Router: URL of the host list; empty: unused.
-  std::uint64_t m_seed = 0;    ///< Router; 0: seeded by the system.
+  std::string m_hostList;   ///< Router: URL of the host list; empty: unused.
+  std::uint64_t m_seed = 0; ///< Router; 0: seeded by the system.
+  /// Router: time from a stop request until the host kills the process.
+  std::chrono::milliseconds m_stopGrace{ 8000 };
   UpstreamSettings m_upstream; ///< Agent only.
   std::string m_logLevel = "info";
   auto operator<=>(const ProcessSettings&) const = default;
--- a/include/bergamotpaddle/Router/RequestTable.h
+++ b/include/bergamotpaddle/Router/RequestTable.h
@@ -104,6 +104,10 @@
   /// Cancels a request whose caller has disconnected.
   void OnCallerDisconnect(RequestNumber aNumber);
 
+  /// Fails all requests: with kDraining those that cannot have run, with
+  /// kOutcomeUnknown the others.
+  void EndAll();
+
   void OnAgentUp(const UpstreamId& aUpstream, bool aIsSameIncarnation);
   void OnAgentDown(const UpstreamId& aUpstream);
   /// The configuration has removed the upstream.
@@ -215,6 +219,8 @@
   void MarkLost(AttemptId aAttempt);
   void OnGraceExpired(AttemptId aAttempt);
   void Retry(RequestNumber aNumber, ResultCode aCode);
+  /// Whether the request was sent to an upstream that has not refused it.
+  bool MayHaveRun(const Request& aRequest);
   /// Consumes a retry from the retry budget; returns false if it is used up.
   bool TryConsumeRetry();
   void DropAttempt(AttemptId aAttempt);
--- a/include/bergamotpaddle/Router/RouterCore.h
+++ b/include/bergamotpaddle/Router/RouterCore.h
@@ -40,6 +40,18 @@
   EventHook m_event;
 };
 
+/// Time limits of a planned stop.
+struct RetireLimits
+{
+  Duration m_requests{ 0 }; ///< Until all requests in flight are failed.
+  Duration m_total{ 0 };    ///< Until the router gives up what is unsettled.
+
+  /// Returns the limits of a stop whose grace \p aGrace, the time from the
+  /// stop request until the host kills the process, began \p aElapsed ago.
+  static RetireLimits Within(Duration aGrace, Duration aElapsed);
+  auto operator<=>(const RetireLimits&) const = default;
+};
+
 /// The configuration version in force at a process.
 struct ProcessVersion
 {
@@ -79,9 +91,10 @@
   }
 
   /// Shuts the router down: waits until all requests have ended and all
-  /// attempts are settled, then returns all credit and removes the ledger. The
-  /// hook runs when that is done.
-  void Retire(std::function<void()> aDone);
+  /// attempts are settled, then returns all credit and removes the ledger. \p
+  /// aDone receives whether that is done; false at the end of \p aLimits, after
+  /// which another router recovers the ledger.
+  void Retire(RetireLimits aLimits, std::function<void(bool)> aDone);
 
   const ConfigStore& Config() const { return m_config; }
   const Configuration& Current() const { return *m_config.Current(); }
@@ -134,7 +147,8 @@
   void IntroduceTo(PeerId aPeer);
   void Tick();
   void TickPeers();
-  void FinishRetirement(std::function<void()> aDone);
+  void RetireWhenIdle();
+  void EndRetirement(bool aIsComplete);
   Heartbeat MakeHeartbeat() const;
 
   RouterOptions m_options;
@@ -158,6 +172,7 @@
   std::set<PeerId> m_openPeers;
   Instant m_startedAt;
   bool m_isStopping = false;
+  std::function<void(bool)> m_onRetired; ///< Unset before and after.
 };
 
 } // namespace bergamotpaddle
--- a/include/bergamotpaddle/Testing/FakeFleet.h
+++ b/include/bergamotpaddle/Testing/FakeFleet.h
@@ -97,9 +97,10 @@
   void KillRouter(int aIndex);
   /// Starts the next incarnation of a dead router.
   void StartRouter(int aIndex);
-  /// Starts a planned stop of a router; has no effect if it is dead. \p aDone
-  /// runs once the router has returned its credit and removed its ledger.
-  void RetireRouter(int aIndex, std::function<void()> aDone);
+  /// Starts a planned stop of a router with a grace of 8 s; has no effect if it
+  /// is dead. \p aDone receives whether the router has returned its credit and
+  /// removed its ledger.
+  void RetireRouter(int aIndex, std::function<void(bool)> aDone);
   /// Kills an agent and closes its links.
   void KillAgent(int aIndex);
   /// Starts the next incarnation of a dead agent.
--- a/lib/Config/ProcessSettings.cpp
+++ b/lib/Config/ProcessSettings.cpp
@@ -24,6 +24,8 @@
   settings.m_peers = aValue.value("peers", settings.m_peers);
   settings.m_hostList = aValue.value("host_list", std::string());
   settings.m_seed = aValue.value("seed", settings.m_seed);
+  settings.m_stopGrace = std::chrono::milliseconds(
+    aValue.value("stop_grace_ms", settings.m_stopGrace.count()));
   if (aValue.contains("upstream")) {
     const json& upstream = aValue.at("upstream");
     settings.m_upstream = { UpstreamId(upstream.at("name").get<std::string>()),
--- a/lib/Daemon/RouterRole.cpp
+++ b/lib/Daemon/RouterRole.cpp
@@ -144,10 +144,26 @@
     m_core.SetStopping();
     m_runtime.Loop().After(kRefusalDelay, [this] {
       m_callerApi.SetRefusing();
-      m_core.Retire([this] { m_runtime.FinishStop(); });
+      m_core.Retire(RetireLimits::Within(m_settings.m_stopGrace, kRefusalDelay),
+                    [this](bool aIsComplete) { OnRetired(aIsComplete); });
     });
   }
 
+  void OnRetired(bool aIsComplete)
+  {
+    if (!aIsComplete) {
+      m_runtime.Services()
+        .Find<Log>(service_name::kLog)
+        .Write(
+          LogLevel::kWarn,
+          "stop_incomplete",
+          { { "holder", m_core.CurrentLedger().Holder().Str() },
+            { "unsettled",
+              std::to_string(m_core.CurrentLedger().OutstandingAttempts()) } });
+    }
+    m_runtime.FinishStop();
+  }
+
   std::string Status() const
   {
     json agents = json::array();
--- a/lib/Router/RequestTable.cpp
+++ b/lib/Router/RequestTable.cpp
@@ -384,6 +384,37 @@
   EndRequest(aNumber);
 }
 
+bool
+RequestTable::MayHaveRun(const Request& aRequest)
+{
+  const Attempt* attempt = FindAttempt(aRequest.m_current);
+  const bool isSent =
+    attempt != nullptr && (attempt->m_state == AttemptState::kSent ||
+                           attempt->m_state == AttemptState::kAccepted ||
+                           attempt->m_state == AttemptState::kLost);
+  return isSent || aRequest.m_mayHaveRun || aRequest.m_isPlaced ||
+         aRequest.m_lastRefusal == ResultCode::kUpstreamFailed;
+}
+
+void
+RequestTable::EndAll()
+{
+  std::vector<RequestNumber> numbers;
+  for (const auto& [number, request] : m_requests) {
+    numbers.push_back(number);
+  }
+  for (RequestNumber number : numbers) {
+    const Request* request = Find(number);
+    if (request == nullptr) {
+      continue; // The end of another one has ended it.
+    }
+    const bool mayHaveRun = MayHaveRun(*request);
+    Fail(number,
+         mayHaveRun ? ResultCode::kOutcomeUnknown : ResultCode::kDraining,
+         mayHaveRun ? Ran::kUnknown : Ran::kNo);
+  }
+}
+
 void
 RequestTable::Complete(RequestNumber aNumber, const ResponseEnd& aEnd)
 {
--- a/lib/Router/RouterCore.cpp
+++ b/lib/Router/RouterCore.cpp
@@ -1,6 +1,7 @@
 #include "bergamotpaddle/Router/RouterCore.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bergamotpaddle {
 
@@ -8,9 +9,22 @@
 
 constexpr Duration kRetirePollInterval = std::chrono::milliseconds(50);
 constexpr Duration kPeerLinkTimeout = std::chrono::seconds(3);
+/// Requests are failed in the last sixth of the grace: the users' rules count
+/// no request that a stop ends there.
+constexpr int kGraceParts = 6;
+/// Time that the process needs to exit before its host kills it, as in
+/// GatewayServer::CheckStop.
+constexpr Duration kExitMargin = std::chrono::milliseconds(600);
 
 } // namespace
 
+RetireLimits
+RetireLimits::Within(Duration aGrace, Duration aElapsed)
+{
+  return { aGrace - aGrace / kGraceParts - aElapsed,
+           aGrace - kExitMargin - aElapsed };
+}
+
 RouterCore::RouterCore(RouterOptions aOptions,
                        KeyValueHooks aKeyValue,
                        TimerHooks aTimers,
@@ -389,25 +403,46 @@
 }
 
 void
-RouterCore::Retire(std::function<void()> aDone)
+RouterCore::Retire(RetireLimits aLimits, std::function<void(bool)> aDone)
 {
   m_isStopping = true;
-  FinishRetirement(std::move(aDone));
+  m_onRetired = std::move(aDone);
+  m_timers.m_after(aLimits.m_requests, [this] { m_requests.EndAll(); });
+  m_timers.m_after(aLimits.m_total, [this] { EndRetirement(false); });
+  RetireWhenIdle();
 }
 
 void
-RouterCore::FinishRetirement(std::function<void()> aDone)
+RouterCore::RetireWhenIdle()
 {
+  if (!m_onRetired) {
+    return;
+  }
   const bool isBusy =
     m_requests.InFlight() > 0 || m_ledger->OutstandingAttempts() > 0;
   if (isBusy) {
-    m_timers.m_after(kRetirePollInterval, [this, done = std::move(aDone)] {
-      FinishRetirement(done);
-    });
+    m_timers.m_after(kRetirePollInterval, [this] { RetireWhenIdle(); });
     return;
   }
   m_holderWatch.Stop();
-  m_ledger->Retire(std::move(aDone));
+  m_ledger->Retire([this] { EndRetirement(true); });
+}
+
+void
+RouterCore::EndRetirement(bool aIsComplete)
+{
+  if (!m_onRetired) {
+    return;
+  }
+  if (!aIsComplete) {
+    m_hooks.m_event({ "retirement_incomplete",
+                      "",
+                      "",
+                      "",
+                      m_ledger->Holder().Str() + ", unsettled attempts: " +
+                        std::to_string(m_ledger->OutstandingAttempts()) });
+  }
+  std::exchange(m_onRetired, nullptr)(aIsComplete);
 }
 
 } // namespace bergamotpaddle
--- a/lib/Testing/FakeFleet.cpp
+++ b/lib/Testing/FakeFleet.cpp
@@ -13,6 +13,7 @@
 constexpr const char* kChatPool = "chat";
 constexpr const char* kServicePool = "desk";
 constexpr std::uint64_t kServiceCallCost = 50;
+constexpr Duration kStopGrace = std::chrono::seconds(8);
 /// 2026-01-01 as Unix time; an arbitrary origin, since only differences matter.
 constexpr std::uint64_t kWallClockOriginMilliseconds = 1767225600000;
 
@@ -256,11 +257,12 @@
 }
 
 void
-FakeFleet::RetireRouter(int aIndex, std::function<void()> aDone)
+FakeFleet::RetireRouter(int aIndex, std::function<void(bool)> aDone)
 {
   RouterInstance& instance = *m_routers[aIndex];
   if (instance.m_process.IsAlive()) {
-    instance.m_core->Retire(std::move(aDone));
+    instance.m_core->Retire(RetireLimits::Within(kStopGrace, Duration(0)),
+                            std::move(aDone));
   }
 }
 
--- a/unittests/Fleet/GuaranteesTest.cpp
+++ b/unittests/Fleet/GuaranteesTest.cpp
@@ -116,7 +116,7 @@
   }
   fleet.Time().Advance(milliseconds(300));
   bool isRetired = false;
-  fleet.RetireRouter(0, [&] { isRetired = true; });
+  fleet.RetireRouter(0, [&](bool aIsComplete) { isRetired = aIsComplete; });
 
   SECTION("the key-value service is healthy") {}
   SECTION("responses of the key-value service are lost")
