A request that failed at an upstream is not reported as not run

What callers saw: a chat or a repeatable call whose run failed at an upstream, and that found no other one or was refused there, was answered with 502 or 503 and "ran": "no". It had run and was sent on that promise's terms; found by reading, while looking for what a stop may still say of a request.

Cause: RequestTable told whether a request may have run by its last attempt and by attempts that were lost; a run that had failed before was forgotten with the next choice of an upstream.

Evidence: RegressionTest, "a request that failed at an upstream is never reported as not run", failed on the code before in 4 of 6 assertions: both ends said not run, and the oracle counted the runs. Passes now; FleetTests 716 assertions.

Why it works: the request remembers that a run of it failed, unless its upstream said that it had not run, and every end of it says that it may have run.

--- a/include/bergamotpaddle/Router/RequestTable.h
+++ b/include/bergamotpaddle/Router/RequestTable.h
@@ -170,7 +170,8 @@
     UpstreamId m_replaces;
     std::uint64_t m_replacesGeneration = 0;
     int m_tries = 0;
-    bool m_mayHaveRun = false; ///< An earlier attempt was lost.
+    bool m_mayHaveRun = false;   ///< An earlier attempt was lost.
+    bool m_hasFailedRun = false; ///< An earlier attempt failed as it ran.
     /// Already marked as duplicate in the ledger.
     bool m_isDuplicate = false;
     /// Placed by another attempt, and that place has not refused it since.
--- a/lib/Router/RequestTable.cpp
+++ b/lib/Router/RequestTable.cpp
@@ -318,6 +318,9 @@
     Fail(number, aMessage.m_code, aMessage.m_ran);
     return;
   }
+  if (aMessage.m_ran != Ran::kNo) {
+    request->m_hasFailedRun = true;
+  }
   AllowMove(*request, endedAttempt);
   request->m_excluded.insert(aFrom);
   Retry(number, aMessage.m_code);
@@ -393,7 +396,7 @@
                            attempt->m_state == AttemptState::kAccepted ||
                            attempt->m_state == AttemptState::kLost);
   return isSent || aRequest.m_mayHaveRun || aRequest.m_isPlaced ||
-         aRequest.m_lastRefusal == ResultCode::kUpstreamFailed;
+         aRequest.m_hasFailedRun;
 }
 
 void
@@ -431,7 +434,8 @@
   const CallerHooks caller = Find(aNumber)->m_params.m_caller;
   // aRan describes the last attempt; an earlier or lost one may still run.
   const Request& request = *Find(aNumber);
-  const bool mayHaveRun = request.m_mayHaveRun || request.m_isPlaced;
+  const bool mayHaveRun =
+    request.m_mayHaveRun || request.m_hasFailedRun || request.m_isPlaced;
   const Ran ran = aRan == Ran::kNo && mayHaveRun ? Ran::kUnknown : aRan;
   ++m_counters.m_failed;
   RecordEvent("request_failed",
--- a/unittests/Fleet/RegressionTest.cpp
+++ b/unittests/Fleet/RegressionTest.cpp
@@ -3,6 +3,7 @@
 /// reproduced here in their shrunk form.
 #include "Oracle.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace bergamotpaddle;
@@ -163,3 +164,40 @@
   REQUIRE(oracle.Requests().front().m_failures.size() == 1);
   CHECK(oracle.Requests().front().m_failures.front().m_ran == Ran::kUnknown);
 }
+
+TEST_CASE("a request that failed at an upstream is never reported as not run",
+          "[kept]")
+{
+  FakeFleetOptions options = RegressionFleet::MakeOptions();
+  options.m_chatUpstreams = 2;
+  FakeFleet fleet(options);
+  Oracle oracle(fleet);
+  fleet.Time().Advance(milliseconds(2000));
+  fleet.SetFailing(0, true);
+  fleet.SetFailing(1, true);
+  oracle.Submit(0, "big", true, true, false, 5);
+
+  SECTION("when it fails at the other upstream too") {}
+  SECTION("when the other upstream refuses it")
+  {
+    const auto isSentAgain = [&] {
+      return std::count_if(fleet.Events().begin(),
+                           fleet.Events().end(),
+                           [](const Event& aEvent) {
+                             return aEvent.m_fields.m_name == "dispatched";
+                           }) == 2;
+    };
+    while (!isSentAgain()) {
+      fleet.Time().Advance(std::chrono::microseconds(100));
+    }
+    const bool isAtFirst =
+      fleet.Events().back().m_fields.m_upstream == fleet.AgentName(0);
+    fleet.Agent(isAtFirst ? 0 : 1)->SetStopping();
+  }
+  fleet.Time().Advance(milliseconds(5000));
+  const CallerRequest& failed = oracle.Requests().front();
+  REQUIRE(failed.m_failures.size() == 1);
+  CHECK(failed.m_failures.front().m_ran == Ran::kUnknown);
+  CHECK(
+    oracle.CheckInvariants({ { "big", 100000 }, { "small", 300 } }).empty());
+}
