--- a/include/bergamotpaddle/Router/RequestTable.h
+++ b/include/bergamotpaddle/Router/RequestTable.h
@@ -104,6 +104,10 @@
   /// Cancels a request whose caller has disconnected.
   void OnCallerDisconnect(RequestNumber aNumber);
 
+  /// Fails all requests: with kDraining those that cannot have run, with
+  /// kOutcomeUnknown the others.
+  void EndAll();
+
   void OnAgentUp(const UpstreamId& aUpstream, bool aIsSameIncarnation);
   void OnAgentDown(const UpstreamId& aUpstream);
   /// The configuration has removed the upstream.
@@ -166,7 +170,8 @@
     UpstreamId m_replaces;
     std::uint64_t m_replacesGeneration = 0;
     int m_tries = 0;
-    bool m_mayHaveRun = false; ///< An earlier attempt was lost.
+    bool m_mayHaveRun = false;   ///< An earlier attempt was lost.
+    bool m_hasFailedRun = false; ///< An earlier attempt failed as it ran.
     /// Already marked as duplicate in the ledger.
     bool m_isDuplicate = false;
     /// Placed by another attempt, and that place has not refused it since.
@@ -215,6 +220,8 @@
   void MarkLost(AttemptId aAttempt);
   void OnGraceExpired(AttemptId aAttempt);
   void Retry(RequestNumber aNumber, ResultCode aCode);
+  /// Whether the request was sent to an upstream that has not refused it.
+  bool MayHaveRun(const Request& aRequest);
   /// Consumes a retry from the retry budget; returns false if it is used up.
   bool TryConsumeRetry();
   void DropAttempt(AttemptId aAttempt);
--- a/lib/Router/RequestTable.cpp
+++ b/lib/Router/RequestTable.cpp
@@ -318,6 +318,9 @@
     Fail(number, aMessage.m_code, aMessage.m_ran);
     return;
   }
+  if (aMessage.m_ran != Ran::kNo) {
+    request->m_hasFailedRun = true;
+  }
   AllowMove(*request, endedAttempt);
   request->m_excluded.insert(aFrom);
   Retry(number, aMessage.m_code);
@@ -384,6 +387,37 @@
   EndRequest(aNumber);
 }
 
+bool
+RequestTable::MayHaveRun(const Request& aRequest)
+{
+  const Attempt* attempt = FindAttempt(aRequest.m_current);
+  const bool isSent =
+    attempt != nullptr && (attempt->m_state == AttemptState::kSent ||
+                           attempt->m_state == AttemptState::kAccepted ||
+                           attempt->m_state == AttemptState::kLost);
+  return isSent || aRequest.m_mayHaveRun || aRequest.m_isPlaced ||
+         aRequest.m_hasFailedRun;
+}
+
+void
+RequestTable::EndAll()
+{
+  std::vector<RequestNumber> numbers;
+  for (const auto& [number, request] : m_requests) {
+    numbers.push_back(number);
+  }
+  for (RequestNumber number : numbers) {
+    const Request* request = Find(number);
+    if (request == nullptr) {
+      continue; // The end of another one has ended it.
+    }
+    const bool mayHaveRun = MayHaveRun(*request);
+    Fail(number,
+         mayHaveRun ? ResultCode::kOutcomeUnknown : ResultCode::kDraining,
+         mayHaveRun ? Ran::kUnknown : Ran::kNo);
+  }
+}
+
 void
 RequestTable::Complete(RequestNumber aNumber, const ResponseEnd& aEnd)
 {
@@ -400,7 +434,8 @@
   const CallerHooks caller = Find(aNumber)->m_params.m_caller;
   // aRan describes the last attempt; an earlier or lost one may still run.
   const Request& request = *Find(aNumber);
-  const bool mayHaveRun = request.m_mayHaveRun || request.m_isPlaced;
+  const bool mayHaveRun =
+    request.m_mayHaveRun || request.m_hasFailedRun || request.m_isPlaced;
   const Ran ran = aRan == Ran::kNo && mayHaveRun ? Ran::kUnknown : aRan;
   ++m_counters.m_failed;
   RecordEvent("request_failed",
