Free the buffered bytes of an attempt that is given up

What callers would have seen: the bytes of a response that was given up for another upstream's counted as buffered for ever; beyond 32 MB every collected response is 'too long', and calls fail until the process ends.

Cause: the bytes were counted by the attempt, and only the attempt in use released them. Fix: an attempt beside it releases them when it ends, unless its error response is kept.

--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -443,6 +443,9 @@
     NoteFailure(*aAttempt, aStep);
   }
   aAttempt->Finish();
+  if (!isInUse && aAttempt != m_failedAttempt) {
+    aAttempt->ReleaseBody();
+  }
 }
 
 void
--- a/unittests/Platform/SoundUpstreamAbandonedTest.cpp
+++ b/unittests/Platform/SoundUpstreamAbandonedTest.cpp
@@ -167,6 +167,38 @@
   }
 }
 
+// Regression: the bytes of a response that was given up counted as buffered for
+// ever, until every response was too long.
+TEST_CASE("a response that is given up for that of another upstream",
+          "[forwarding][failover]")
+{
+  FailoverFixture fixture;
+  ScriptedUpstream::Script other;
+  other.m_response = "HTTP/1.1 200 OK\r\nBergamotpaddle-Attempt-Id: {ID}\r\n"
+                     "Bergamotpaddle-Response-Seal: s\r\n"
+                     "Content-Length: 100\r\n\r\nthe first bytes";
+
+  SECTION("is not buffered any longer if it is incomplete")
+  {
+    other.m_isKeptOpen = true;
+    fixture.Script(LateResponse(kCallDelay), other);
+    CHECK(fixture.Call("/again/x").starts_with("HTTP/1.1 200"));
+  }
+  SECTION("is not buffered any longer if it broke off")
+  {
+    fixture.Script(LateResponse(kCallDelay), other);
+    CHECK(fixture.Call("/again/x").starts_with("HTTP/1.1 200"));
+  }
+  SECTION("is not buffered any longer if it cannot continue the stream")
+  {
+    other.m_response = "HTTP/1.1 404 No\r\nBergamotpaddle-Attempt-Id: {ID}\r\n"
+                       "Content-Length: 4\r\n\r\nnone";
+    fixture.Script(PausingStream(kStreamPause), other);
+    CHECK(IsWholeStream(fixture.Call("/resume/x")));
+  }
+  CHECK(fixture.m_state.m_bufferedResponseBytes == 0);
+}
+
 TEST_CASE("a request whose upstream stays silent", "[forwarding][failover]")
 {
   FailoverFixture fixture;
