Start no attempt for a caller that has left

What upstreams would have seen: a request that reaches a second upstream after its caller has left, and works there until the deadline.

Cause: the disconnect aborts the attempt, but its coroutine resumes later; a tick in between found the timeout passed, started another attempt, and that one was adopted. Fix: no tick and no adoption after the caller has left.

The test closes the caller's connection in the iteration of the tick.

--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -183,7 +183,8 @@
   while (true) {
     const AttemptStep step = co_await m_attempt->Advance();
     const AbortReason reason = m_attempt->Exchange().GetAbortReason();
-    const std::shared_ptr<UpstreamAttempt> standby = BestStandby();
+    const std::shared_ptr<UpstreamAttempt> standby =
+      m_isCallerDisconnected ? nullptr : BestStandby();
     // A read may have completed before the attempt was aborted. What it
     // returned is of use only if no other attempt has taken over.
     const bool hasFailed = IsFailure(step) || m_isCallerDisconnected ||
--- a/lib/Forwarding/RequestTimeouts.cpp
+++ b/lib/Forwarding/RequestTimeouts.cpp
@@ -99,7 +99,7 @@
 void
 RequestRun::Tick(Instant aNow, Duration aStall)
 {
-  if (!m_attempt) {
+  if (!m_attempt || m_isCallerDisconnected) {
     return;
   }
   ForEachAttempt(
--- a/unittests/Platform/SoundUpstreamAbandonedTest.cpp
+++ b/unittests/Platform/SoundUpstreamAbandonedTest.cpp
@@ -4,6 +4,7 @@
 #include "SilenceFixture.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace bergamotpaddle;
 using std::chrono::milliseconds;
@@ -280,6 +281,28 @@
     CHECK(fixture.m_state.m_requestsInFlight == 0);
   }
 
+  // Regression: the request was sent to a second upstream for a caller that had
+  // left in the same iteration of the event loop.
+  SECTION("is not sent to another one once its caller has left")
+  {
+    fixture.Script({ "", true }, { "", true });
+    Tcp::socket caller(fixture.m_io);
+    const std::string& address = fixture.m_callerAddress;
+    caller.connect({ asio::ip::make_address("127.0.0.1"),
+                     static_cast<std::uint16_t>(
+                       std::stoi(address.substr(address.rfind(':') + 1))) });
+    std::string request = GatewayFixture::Request("/again/x");
+    request.replace(request.find("Timeout-Ms: 1500"), 16, "Timeout-Ms: 3500");
+    asio::write(caller, asio::buffer(request));
+    fixture.After(milliseconds(385), [&caller] {
+      caller.close();
+      std::this_thread::sleep_for(milliseconds(45)); // Beyond the timeout.
+    });
+    fixture.RunFor(milliseconds(1000));
+    CHECK(fixture.SendCount() == 1);
+    CHECK(fixture.m_state.m_requestsInFlight == 0);
+  }
+
   SECTION("ends at both upstreams when its caller leaves")
   {
     fixture.Script({ "", true }, { "", true });
