Keep the second attempt of a stream until a whole event arrives

What callers would have seen: a stream whose upstream was silent for 1.3 s, sent part of an event and broke off was lost, although a second upstream had the request and would have resumed it.

Cause: any byte of the first upstream ended the attempt at the second one. Fix: only an answer does, a whole event. If neither has one when the overlap ends, the upstream that was heard last keeps the request.

--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -72,7 +72,8 @@
   Awaitable<void> DeliverEvents();
   Awaitable<void> DeliverStreamEnd();
   Awaitable<void> DeliverResponse();
-  /// Records that an upstream was heard: the silence of m_attempt is over.
+  /// Bytes of the response arrived: if it is that of m_attempt, its silence is
+  /// over.
   void NoteHeard(const UpstreamAttempt& aAttempt);
   /// Sends the request to another upstream as well, if one can take it.
   void StartStandby(Instant aNow);
@@ -107,6 +108,8 @@
   std::optional<Duration> ResponseTimeout() const;
   /// Whether a stream has been at two upstreams for as long as it may.
   bool IsOverlapOver(Instant aNow) const;
+  /// Ends the attempt of a stream at one of two upstreams.
+  void EndOverlap();
   /// Charges the tokens used and releases the rest of the allotted ones.
   void SettleCredit();
   void LogEnd() const;
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -307,9 +307,6 @@
   if (m_idleDeadline) {
     ArmIdleTimeout(aAttempt.HeardAt());
   }
-  if (m_route->m_kind == CallKind::kStream) {
-    DropStandbys(); // Two upstreams must not work on a stream for long.
-  }
 }
 
 void
--- a/lib/Forwarding/RequestTimeouts.cpp
+++ b/lib/Forwarding/RequestTimeouts.cpp
@@ -96,6 +96,19 @@
     });
 }
 
+void
+RequestRun::EndOverlap()
+{
+  // The upstream that was heard last is the one more likely to go on.
+  if (m_attempt->HeardAt() > m_standbys.front()->HeardAt()) {
+    DropStandbys();
+    ArmIdleTimeout(m_attempt->HeardAt());
+    return;
+  }
+  m_idleDeadline.reset();
+  m_attempt->Abort(AbortReason::kIdleTimeout);
+}
+
 void
 RequestRun::Tick(Instant aNow, Duration aStall)
 {
@@ -130,8 +143,7 @@
       }
     });
   } else if (isOverlapOver) {
-    m_idleDeadline.reset();
-    m_attempt->Abort(AbortReason::kIdleTimeout);
+    EndOverlap();
   } else if (m_route->m_kind != CallKind::kStream || m_standbys.empty()) {
     StartStandby(aNow);
   }
--- a/unittests/Platform/SoundUpstreamAbandonedTest.cpp
+++ b/unittests/Platform/SoundUpstreamAbandonedTest.cpp
@@ -259,6 +259,16 @@
     CHECK(fixture.m_state.m_counters.m_streamsResumed == 1);
   }
 
+  // Regression: a few bytes of the first upstream ended the attempt at the
+  // other one, and the stream was lost when the first one broke off after them.
+  SECTION("is answered by the other one if its own breaks off within an event")
+  {
+    ScriptedUpstream::Script first = PausingStream(milliseconds(1300));
+    first.m_continuation = GatewayFixture::Chunk("id: 2\nda");
+    fixture.Script(first, Resumption(milliseconds(250)));
+    CHECK(IsWholeStream(fixture.Call("/resume/x")));
+  }
+
   SECTION("is answered with the other one's error if its own breaks off")
   {
     ScriptedUpstream::Script first{ "", false, true, milliseconds(700), "H" };
