End the overlap of two upstreams independently of other timeouts

What the users' rules forbid: two upstreams at work on one request of an inference engine for 400 ms.

Fix: the limit is 320 ms, looked at in every tick, and holds for every request with a token count, not for streams alone. Bytes of the first upstream that wait to be read count as heard. An attempt that was aborted starts nothing any more.

Evidence: the test blocks the loop for 40 ms near the end; the overlap stays below 400 ms. A block of more than 60 ms at that moment can still exceed it.

--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -83,10 +83,10 @@
   /// if one can take it.
   /// Below the two seconds after which callers disconnect.
   Duration m_streamIdleTimeout = std::chrono::milliseconds(1200);
-  /// How long a silent upstream keeps a stream that was sent to another one as
-  /// well. The users' rules allow that both work on it for 400 ms; the rest is
-  /// for the resolution of timeouts.
-  Duration m_maxStreamOverlap = std::chrono::milliseconds(350);
+  /// How long a silent upstream keeps a request for an inference engine that
+  /// was sent to another one as well. The users' rules allow that both work on
+  /// it for 400 ms; the rest is for a late tick and the way to the upstream.
+  Duration m_maxOverlap = std::chrono::milliseconds(320);
   /// Interval at which a request whose upstream is silent checks whether
   /// another one can take it: short compared with the time that callers wait
   /// after a pause.
--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -106,9 +106,12 @@
   /// Time after which the request is sent to another upstream as well if no
   /// response has arrived; nullopt if it must not be repeated.
   std::optional<Duration> ResponseTimeout() const;
-  /// Whether a stream has been at two upstreams for as long as it may.
+  /// Whether two upstreams may work on the request for a short time only, as
+  /// it occupies the memory and the slots of inference engines.
+  bool MustNotOverlap() const;
+  /// Whether the request has been at two upstreams for as long as it may.
   bool IsOverlapOver(Instant aNow) const;
-  /// Ends the attempt of a stream at one of two upstreams.
+  /// Ends the attempt at one of two upstreams.
   void EndOverlap();
   /// Charges the tokens used and releases the rest of the allotted ones.
   void SettleCredit();
--- a/lib/Forwarding/RequestTimeouts.cpp
+++ b/lib/Forwarding/RequestTimeouts.cpp
@@ -86,14 +86,20 @@
     });
 }
 
+bool
+RequestRun::MustNotOverlap() const
+{
+  return m_route->m_kind == CallKind::kStream || m_request.m_hasTokenUsage;
+}
+
 bool
 RequestRun::IsOverlapOver(Instant aNow) const
 {
-  return std::any_of(
-    m_standbys.begin(), m_standbys.end(), [&](const auto& aStandby) {
-      const std::optional<Instant> sentAt = aStandby->SentAt();
-      return sentAt && aNow - *sentAt >= m_state->m_options.m_maxStreamOverlap;
-    });
+  if (!MustNotOverlap() || m_standbys.empty()) {
+    return false;
+  }
+  const std::optional<Instant> sentAt = m_standbys.front()->SentAt();
+  return sentAt && aNow - *sentAt >= m_state->m_options.m_maxOverlap;
 }
 
 void
@@ -112,7 +118,9 @@
 void
 RequestRun::Tick(Instant aNow, Duration aStall)
 {
-  if (!m_attempt || m_isCallerDisconnected) {
+  // An attempt that was aborted ends when its coroutine resumes.
+  if (!m_attempt || m_isCallerDisconnected ||
+      m_attempt->Exchange().GetAbortReason() != AbortReason::kNone) {
     return;
   }
   ForEachAttempt(
@@ -120,11 +128,13 @@
   if (m_idleDeadline) {
     *m_idleDeadline += aStall;
   }
+  // Bytes that have arrived are read before the next tick.
+  if (IsOverlapOver(aNow) && !m_attempt->Exchange().HasUnreadBytes()) {
+    EndOverlap();
+    return;
+  }
   const bool isDeadlinePassed = aNow >= m_deadline;
-  const bool isOverlapOver =
-    m_route->m_kind == CallKind::kStream && IsOverlapOver(aNow);
-  if (!isDeadlinePassed && !isOverlapOver &&
-      !(m_idleDeadline && aNow >= *m_idleDeadline)) {
+  if (!isDeadlinePassed && !(m_idleDeadline && aNow >= *m_idleDeadline)) {
     m_overdueSince.reset();
     return;
   }
@@ -142,9 +152,7 @@
         aAttempt.Abort(AbortReason::kDeadline);
       }
     });
-  } else if (isOverlapOver) {
-    EndOverlap();
-  } else if (m_route->m_kind != CallKind::kStream || m_standbys.empty()) {
+  } else if (!MustNotOverlap() || m_standbys.empty()) {
     StartStandby(aNow);
   }
 }
--- a/unittests/Platform/SoundUpstreamAbandonedTest.cpp
+++ b/unittests/Platform/SoundUpstreamAbandonedTest.cpp
@@ -227,19 +227,27 @@
 
   SECTION("is at work at two upstreams for less than 400 ms if it is a stream")
   {
+    // While both work on it, the event loop is blocked for some time.
+    const int blockedMs = GENERATE(0, 40);
+    CAPTURE(blockedMs);
     fixture.Script({ BegunStream(), true }, { "", true });
     std::optional<std::chrono::steady_clock::time_point> since;
     std::optional<std::chrono::steady_clock::duration> overlap;
+    bool wasBlocked = false;
     std::function<void()> measure = [&] {
       const auto now = std::chrono::steady_clock::now();
       if (fixture.SendCount() == 2 && !since) {
         since = now;
       }
+      if (since && now - *since > milliseconds(310) &&
+          !std::exchange(wasBlocked, true)) {
+        std::this_thread::sleep_for(milliseconds(blockedMs));
+      }
       if (since && fixture.Chosen().m_openConnections == 0 && !overlap) {
         overlap = now - *since;
       }
       if (!overlap) {
-        fixture.After(milliseconds(5), measure);
+        fixture.After(milliseconds(2), measure);
       }
     };
     fixture.After(milliseconds(5), measure);
