--- a/include/bergamotpaddle/Forwarding/UpstreamAttempt.h
+++ b/include/bergamotpaddle/Forwarding/UpstreamAttempt.h
@@ -91,6 +91,8 @@
   void Abort(AbortReason aReason) { m_exchange->Abort(aReason); }
   /// Closes the connection and calls no hook any more. The response stays.
   void Finish();
+  /// Like `Finish`, but tells nobody: the request is being destroyed.
+  void Abandon();
   /// Frees the body of the response.
   void ReleaseBody();
 
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -41,7 +41,7 @@
 RequestRun::~RequestRun()
 {
   ForEachAttempt([](UpstreamAttempt& aAttempt) {
-    aAttempt.Finish();
+    aAttempt.Abandon();
     aAttempt.ReleaseBody();
   });
   if (m_failedAttempt) {
--- a/lib/Forwarding/UpstreamAttempt.cpp
+++ b/lib/Forwarding/UpstreamAttempt.cpp
@@ -322,12 +322,10 @@
 void
 UpstreamAttempt::Finish()
 {
-  if (std::exchange(m_isFinished, true)) {
+  if (m_isFinished) {
     return;
   }
-  m_onStep = nullptr;
-  m_connectDeadline.reset();
-  m_exchange->Close();
+  Abandon();
   m_state->m_counters.m_traffic.Record(TrafficPeer::kUpstreams,
                                        m_exchange->Bytes().m_sent,
                                        m_exchange->Bytes().m_received);
@@ -335,6 +333,15 @@
   m_state->m_onLoadChanged(Upstream(), {});
 }
 
+void
+UpstreamAttempt::Abandon()
+{
+  m_isFinished = true;
+  m_onStep = nullptr;
+  m_connectDeadline.reset();
+  m_exchange->Close();
+}
+
 void
 UpstreamAttempt::ReleaseBody()
 {
--- a/unittests/Platform/SoundUpstreamAbandonedTest.cpp
+++ b/unittests/Platform/SoundUpstreamAbandonedTest.cpp
@@ -336,3 +336,27 @@
     CHECK(fixture.Other().m_openConnections == 0);
   }
 }
+
+// Regression: a router that ended with requests in flight called hooks of parts
+// that were destroyed already.
+TEST_CASE("a router that is destroyed with a request at two upstreams",
+          "[forwarding][failover]")
+{
+  auto fixture = std::make_unique<FailoverFixture>();
+  fixture->Script({ "", true }, { "", true });
+  Tcp::socket caller(fixture->m_io);
+  const std::string& address = fixture->m_callerAddress;
+  caller.connect({ asio::ip::make_address("127.0.0.1"),
+                   static_cast<std::uint16_t>(
+                     std::stoi(address.substr(address.rfind(':') + 1))) });
+  asio::write(caller, asio::buffer(GatewayFixture::Request("/again/x")));
+  fixture->RunFor(milliseconds(600));
+  REQUIRE(fixture->SendCount() == 2);
+  int calls = 0;
+  fixture->m_state.m_onLoadChanged =
+    [&calls](const UpstreamId&, const std::vector<PromptPart>&) { ++calls; };
+  boost::system::error_code ignored;
+  caller.close(ignored);
+  fixture.reset();
+  CHECK(calls == 0);
+}
