--- a/lib/Forwarding/UpstreamAttempt.cpp
+++ b/lib/Forwarding/UpstreamAttempt.cpp
@@ -141,6 +141,9 @@
 UpstreamAttempt::Awaitable<bool>
 UpstreamAttempt::Connect()
 {
+  if (m_isFinished) {
+    co_return false; // Given up before the coroutine started.
+  }
   m_connectTimeout = m_state->m_adaptiveConnectTimeout.TimeoutFor(
     m_state->m_options.m_connectTimeout);
   m_connectDeadline = m_state->Now() + m_connectTimeout;
