--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -72,7 +72,8 @@
   Awaitable<void> DeliverEvents();
   Awaitable<void> DeliverStreamEnd();
   Awaitable<void> DeliverResponse();
-  /// Records that an upstream was heard: the silence of m_attempt is over.
+  /// Bytes of the response arrived: if it is that of m_attempt, its silence is
+  /// over.
   void NoteHeard(const UpstreamAttempt& aAttempt);
   /// Sends the request to another upstream as well, if one can take it.
   void StartStandby(Instant aNow);
@@ -105,8 +106,13 @@
   /// Time after which the request is sent to another upstream as well if no
   /// response has arrived; nullopt if it must not be repeated.
   std::optional<Duration> ResponseTimeout() const;
-  /// Whether a stream has been at two upstreams for as long as it may.
+  /// Whether two upstreams may work on the request for a short time only, as
+  /// it occupies the memory and the slots of inference engines.
+  bool MustNotOverlap() const;
+  /// Whether the request has been at two upstreams for as long as it may.
   bool IsOverlapOver(Instant aNow) const;
+  /// Ends the attempt at one of two upstreams.
+  void EndOverlap();
   /// Charges the tokens used and releases the rest of the allotted ones.
   void SettleCredit();
   void LogEnd() const;
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -41,7 +41,7 @@
 RequestRun::~RequestRun()
 {
   ForEachAttempt([](UpstreamAttempt& aAttempt) {
-    aAttempt.Finish();
+    aAttempt.Abandon();
     aAttempt.ReleaseBody();
   });
   if (m_failedAttempt) {
@@ -183,7 +183,8 @@
   while (true) {
     const AttemptStep step = co_await m_attempt->Advance();
     const AbortReason reason = m_attempt->Exchange().GetAbortReason();
-    const std::shared_ptr<UpstreamAttempt> standby = BestStandby();
+    const std::shared_ptr<UpstreamAttempt> standby =
+      m_isCallerDisconnected ? nullptr : BestStandby();
     // A read may have completed before the attempt was aborted. What it
     // returned is of use only if no other attempt has taken over.
     const bool hasFailed = IsFailure(step) || m_isCallerDisconnected ||
@@ -306,9 +307,6 @@
   if (m_idleDeadline) {
     ArmIdleTimeout(aAttempt.HeardAt());
   }
-  if (m_route->m_kind == CallKind::kStream) {
-    DropStandbys(); // Two upstreams must not work on a stream for long.
-  }
 }
 
 void
@@ -443,6 +441,9 @@
     NoteFailure(*aAttempt, aStep);
   }
   aAttempt->Finish();
+  if (!isInUse && aAttempt != m_failedAttempt) {
+    aAttempt->ReleaseBody();
+  }
 }
 
 void
--- a/unittests/Platform/SoundUpstreamAbandonedTest.cpp
+++ b/unittests/Platform/SoundUpstreamAbandonedTest.cpp
@@ -4,6 +4,7 @@
 #include "SilenceFixture.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace bergamotpaddle;
 using std::chrono::milliseconds;
@@ -167,6 +168,38 @@
   }
 }
 
+// Regression: the bytes of a response that was given up counted as buffered for
+// ever, until every response was too long.
+TEST_CASE("a response that is given up for that of another upstream",
+          "[forwarding][failover]")
+{
+  FailoverFixture fixture;
+  ScriptedUpstream::Script other;
+  other.m_response = "HTTP/1.1 200 OK\r\nBergamotpaddle-Attempt-Id: {ID}\r\n"
+                     "Bergamotpaddle-Response-Seal: s\r\n"
+                     "Content-Length: 100\r\n\r\nthe first bytes";
+
+  SECTION("is not buffered any longer if it is incomplete")
+  {
+    other.m_isKeptOpen = true;
+    fixture.Script(LateResponse(kCallDelay), other);
+    CHECK(fixture.Call("/again/x").starts_with("HTTP/1.1 200"));
+  }
+  SECTION("is not buffered any longer if it broke off")
+  {
+    fixture.Script(LateResponse(kCallDelay), other);
+    CHECK(fixture.Call("/again/x").starts_with("HTTP/1.1 200"));
+  }
+  SECTION("is not buffered any longer if it cannot continue the stream")
+  {
+    other.m_response = "HTTP/1.1 404 No\r\nBergamotpaddle-Attempt-Id: {ID}\r\n"
+                       "Content-Length: 4\r\n\r\nnone";
+    fixture.Script(PausingStream(kStreamPause), other);
+    CHECK(IsWholeStream(fixture.Call("/resume/x")));
+  }
+  CHECK(fixture.m_state.m_bufferedResponseBytes == 0);
+}
+
 TEST_CASE("a request whose upstream stays silent", "[forwarding][failover]")
 {
   FailoverFixture fixture;
@@ -194,19 +227,27 @@
 
   SECTION("is at work at two upstreams for less than 400 ms if it is a stream")
   {
+    // While both work on it, the event loop is blocked for some time.
+    const int blockedMs = GENERATE(0, 40);
+    CAPTURE(blockedMs);
     fixture.Script({ BegunStream(), true }, { "", true });
     std::optional<std::chrono::steady_clock::time_point> since;
     std::optional<std::chrono::steady_clock::duration> overlap;
+    bool wasBlocked = false;
     std::function<void()> measure = [&] {
       const auto now = std::chrono::steady_clock::now();
       if (fixture.SendCount() == 2 && !since) {
         since = now;
       }
+      if (since && now - *since > milliseconds(310) &&
+          !std::exchange(wasBlocked, true)) {
+        std::this_thread::sleep_for(milliseconds(blockedMs));
+      }
       if (since && fixture.Chosen().m_openConnections == 0 && !overlap) {
         overlap = now - *since;
       }
       if (!overlap) {
-        fixture.After(milliseconds(5), measure);
+        fixture.After(milliseconds(2), measure);
       }
     };
     fixture.After(milliseconds(5), measure);
@@ -226,6 +267,16 @@
     CHECK(fixture.m_state.m_counters.m_streamsResumed == 1);
   }
 
+  // Regression: a few bytes of the first upstream ended the attempt at the
+  // other one, and the stream was lost when the first one broke off after them.
+  SECTION("is answered by the other one if its own breaks off within an event")
+  {
+    ScriptedUpstream::Script first = PausingStream(milliseconds(1300));
+    first.m_continuation = GatewayFixture::Chunk("id: 2\nda");
+    fixture.Script(first, Resumption(milliseconds(250)));
+    CHECK(IsWholeStream(fixture.Call("/resume/x")));
+  }
+
   SECTION("is answered with the other one's error if its own breaks off")
   {
     ScriptedUpstream::Script first{ "", false, true, milliseconds(700), "H" };
@@ -248,6 +299,28 @@
     CHECK(fixture.m_state.m_requestsInFlight == 0);
   }
 
+  // Regression: the request was sent to a second upstream for a caller that had
+  // left in the same iteration of the event loop.
+  SECTION("is not sent to another one once its caller has left")
+  {
+    fixture.Script({ "", true }, { "", true });
+    Tcp::socket caller(fixture.m_io);
+    const std::string& address = fixture.m_callerAddress;
+    caller.connect({ asio::ip::make_address("127.0.0.1"),
+                     static_cast<std::uint16_t>(
+                       std::stoi(address.substr(address.rfind(':') + 1))) });
+    std::string request = GatewayFixture::Request("/again/x");
+    request.replace(request.find("Timeout-Ms: 1500"), 16, "Timeout-Ms: 3500");
+    asio::write(caller, asio::buffer(request));
+    fixture.After(milliseconds(385), [&caller] {
+      caller.close();
+      std::this_thread::sleep_for(milliseconds(45)); // Beyond the timeout.
+    });
+    fixture.RunFor(milliseconds(1000));
+    CHECK(fixture.SendCount() == 1);
+    CHECK(fixture.m_state.m_requestsInFlight == 0);
+  }
+
   SECTION("ends at both upstreams when its caller leaves")
   {
     fixture.Script({ "", true }, { "", true });
@@ -263,3 +336,27 @@
     CHECK(fixture.Other().m_openConnections == 0);
   }
 }
+
+// Regression: a router that ended with requests in flight called hooks of parts
+// that were destroyed already.
+TEST_CASE("a router that is destroyed with a request at two upstreams",
+          "[forwarding][failover]")
+{
+  auto fixture = std::make_unique<FailoverFixture>();
+  fixture->Script({ "", true }, { "", true });
+  Tcp::socket caller(fixture->m_io);
+  const std::string& address = fixture->m_callerAddress;
+  caller.connect({ asio::ip::make_address("127.0.0.1"),
+                   static_cast<std::uint16_t>(
+                     std::stoi(address.substr(address.rfind(':') + 1))) });
+  asio::write(caller, asio::buffer(GatewayFixture::Request("/again/x")));
+  fixture->RunFor(milliseconds(600));
+  REQUIRE(fixture->SendCount() == 2);
+  int calls = 0;
+  fixture->m_state.m_onLoadChanged =
+    [&calls](const UpstreamId&, const std::vector<PromptPart>&) { ++calls; };
+  boost::system::error_code ignored;
+  caller.close(ignored);
+  fixture.reset();
+  CHECK(calls == 0);
+}
