Log and count the requests that the forced end of a stop cuts

Callers saw a connection close without an answer in a planned stop of one gateway, and nothing in its log told so: the request had no `request.end`, and `process.stopping` did not say when the stop would end.

No decision changes.

--- a/include/bergamotpaddle/Forwarding/CallerConnection.h
+++ b/include/bergamotpaddle/Forwarding/CallerConnection.h
@@ -76,6 +76,8 @@
   /// Whether another request may be read from this connection.
   bool IsOpen() const { return m_isOpen; }
   bool HasBegunResponse() const { return m_hasBegunResponse; }
+  /// Whether a request has arrived in part.
+  bool IsReadingRequest() const { return m_isReadingRequest; }
 
 private:
   Awaitable<bool> WaitForBytes();
@@ -101,6 +103,7 @@
   std::uint64_t m_countedBodyBytes = 0;
   std::optional<Instant> m_waitDeadline; ///< The wait for bytes ends then.
   bool m_isIdle = true;
+  bool m_isReadingRequest = false;
   bool m_isOpen = true;
   bool m_keepAlive = true;
   bool m_isHttp10 = false;
--- a/include/bergamotpaddle/Forwarding/GatewayServer.h
+++ b/include/bergamotpaddle/Forwarding/GatewayServer.h
@@ -90,6 +90,8 @@
   Awaitable<void> RunTicks();
   /// Advances a graceful shutdown that is in progress.
   void CheckStop(Instant aNow);
+  /// Logs and counts the requests that the forced end of a shutdown cuts.
+  void LogCutRequests();
   std::string MetricsPage() const;
 
   boost::asio::io_context* m_io;
--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -54,6 +54,9 @@
   LatencyHistogram m_requestTime; ///< From a request to the response's end.
   LatencyHistogram m_connectTime; ///< Of connections made to upstreams.
   std::uint64_t m_connectTimeouts = 0; ///< Of connections to upstreams.
+  /// Requests, some of them still being read, whose connections the forced end
+  /// of a shutdown closed.
+  std::uint64_t m_requestsCut = 0;
   TrafficCounters m_traffic;
   std::uint64_t m_connectionsAccepted = 0; ///< From callers.
   /// How late the event loop ran its ticks; all other handlers of the loop are
--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -32,6 +32,10 @@
   /// extends the timeout but not the deadline.
   void Tick(Instant aNow, Duration aStall);
 
+  /// Adds to \p aLine which request this is, how long it has been in flight,
+  /// whether it was passed on, and whether its response has begun.
+  void AppendFlightState(LogLine& aLine) const;
+
 private:
   /// Result of an exchange with an upstream.
   enum class ExchangeResult
--- a/lib/Forwarding/CallerConnection.cpp
+++ b/lib/Forwarding/CallerConnection.cpp
@@ -137,6 +137,7 @@
   parser.body_limit(limits.m_maxBodyBytes);
   ErrorCode error;
   const Instant startedAt = m_state->Now();
+  m_isReadingRequest = true;
   m_waitDeadline = startedAt + limits.m_headerTimeout;
   std::size_t received =
     co_await http::async_read_header(m_socket, m_buffer, parser, Into(error));
@@ -147,6 +148,7 @@
                                  ResultCode::kOverloaded,
                                  "too many bodies are in memory",
                                  std::chrono::milliseconds(500) };
+    m_isReadingRequest = false;
     co_await SendLocalResponse(refusal);
     co_return ReadResult::kRejected;
   }
@@ -164,6 +166,7 @@
   }
   m_state->m_counters.m_traffic.Record(TrafficPeer::kCallers, 0, received);
   m_waitDeadline.reset();
+  m_isReadingRequest = false;
   if (error == http::error::end_of_stream) {
     co_return ReadResult::kClosed;
   }
--- a/lib/Forwarding/GatewayMetrics.cpp
+++ b/lib/Forwarding/GatewayMetrics.cpp
@@ -68,6 +68,10 @@
                "gauge",
                "Prompt parts on which upstreams crash.",
                m_state->m_quarantine.Quarantined(m_state->Now()).size());
+  appendSingle("bergamotpaddle_requests_cut_total",
+               "counter",
+               "Requests cut by the forced end of a shutdown.",
+               counters.m_requestsCut);
   appendSingle("bergamotpaddle_events_total",
                "counter",
                "Events of streams passed on.",
--- a/lib/Forwarding/GatewayServer.cpp
+++ b/lib/Forwarding/GatewayServer.cpp
@@ -282,8 +282,26 @@
   const bool isDone = m_state->m_requestsInFlight == 0 && m_sessions.empty();
   if ((isDone || elapsed > m_options.m_grace - kForcedStopMargin) &&
       m_onStopped) {
+    LogCutRequests();
     std::exchange(m_onStopped, nullptr)();
   }
 }
 
+void
+GatewayServer::LogCutRequests()
+{
+  for (const auto& [id, session] : m_sessions) {
+    if (!session.m_run && !session.m_caller->IsReadingRequest()) {
+      continue;
+    }
+    ++m_state->m_counters.m_requestsCut;
+    LogLine line("request.cut");
+    line.Number("session", static_cast<std::int64_t>(id));
+    if (session.m_run) {
+      session.m_run->AppendFlightState(line);
+    }
+    m_state->Log(line.Flag("complete", session.m_run != nullptr), true);
+  }
+}
+
 } // namespace bergamotpaddle
--- a/lib/Forwarding/RequestLog.cpp
+++ b/lib/Forwarding/RequestLog.cpp
@@ -27,6 +27,16 @@
     .Flag("upstream_left", hasOtherUpstream);
 }
 
+void
+RequestRun::AppendFlightState(LogLine& aLine) const
+{
+  aLine.Text("request", m_request.m_attemptId)
+    .Text("route", m_route != nullptr ? m_route->m_name : "")
+    .Milliseconds("in_flight_ms", Elapsed())
+    .Flag("passed_on", m_progress && !m_progress->Tried().empty())
+    .Flag("begun", m_caller->HasBegunResponse());
+}
+
 void
 RequestRun::LogEnd() const
 {
--- a/unittests/Platform/Loopback.h
+++ b/unittests/Platform/Loopback.h
@@ -162,14 +162,16 @@
 class GatewayFixture
 {
 public:
-  GatewayFixture()
+  /// \p aGrace is the time from a stop request to the end of the process.
+  explicit GatewayFixture(
+    std::chrono::milliseconds aGrace = std::chrono::seconds(8))
     : m_log(m_logPipe.WriteEnd(), "test", {})
     , m_state(platform::MakeDialect(),
               {},
               { "host", HolderId("host/1"), "127.0.0.1:1" },
               {},
               m_log)
-    , m_server(m_io, m_state, Options())
+    , m_server(m_io, m_state, Options(aGrace))
     , m_firstUpstream(m_io)
     , m_secondUpstream(m_io)
   {
@@ -320,9 +322,10 @@
     m_state.m_upstreams.Upsert(entry);
   }
 
-  static GatewayServerOptions Options()
+  static GatewayServerOptions Options(std::chrono::milliseconds aGrace)
   {
     GatewayServerOptions options;
+    options.m_grace = aGrace;
     options.m_callerAddress = "127.0.0.1:0";
     options.m_acceptAfterStop = std::chrono::milliseconds(100);
     return options;
