Every request has its answer before the forced end of a stop

Callers saw the connections of requests that were in flight at the end of a planned stop close without an answer, among them requests that must not run twice: nobody could tell whether they had run.

Cause: only the last step of a stop knew when it ended. The deadline of a request, and with it the time limit that upstreams get, retries, the wait for credit and the 504, went by the timeout of the route, which is longer than the grace period on most routes.

Now the stop request sets `GatewayState::m_answersDueBy`, 900 ms before the end of the grace period: 600 ms to return credit and exit, as before, and 300 ms to write the last answers. It limits the deadline of the requests in flight then and of those admitted later. So whoever still waits at that time gets 504 if the request may have run and 503 with Retry-After if it was never passed on, with `Connection: close`. A stream that has begun is closed without its end, as at any deadline. The time lies in the last sixth of the users' grace periods (8 s: 7.1 s; 6 s: 5.1 s).

--- a/include/bergamotpaddle/Forwarding/GatewayServer.h
+++ b/include/bergamotpaddle/Forwarding/GatewayServer.h
@@ -57,8 +57,9 @@
   std::string CallerAddress() const;
 
   /// Begins a graceful shutdown: readiness fails at once, requests in flight
-  /// are completed. \p aOnStopped is called when none is in flight any more, or
-  /// shortly before the grace period ends.
+  /// are completed or answered at `GatewayState::m_answersDueBy`. \p aOnStopped
+  /// is called when none is in flight any more, or shortly before the grace
+  /// period ends.
   void BeginStop(std::function<void()> aOnStopped);
 
   /// Whether requests can be served: a configuration and at least one upstream
--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -147,6 +147,8 @@
   GatewayCounters m_counters;
   EventLog* m_log;
   bool m_isStopping = false;
+  /// During a graceful shutdown: when every request must have its answer.
+  std::optional<Instant> m_answersDueBy;
   std::size_t m_requestsInFlight = 0;
   std::uint64_t m_bufferedRequestBytes = 0;
   std::uint64_t m_bufferedResponseBytes = 0; ///< Of responses being buffered.
--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -32,6 +32,9 @@
   /// extends the timeout but not the deadline.
   void Tick(Instant aNow, Duration aStall);
 
+  /// Moves the deadline forward to \p aLatest if it is later.
+  void LimitDeadline(Instant aLatest);
+
   /// Adds to \p aLine which request this is, how long it has been in flight,
   /// whether it was passed on, and whether its response has begun.
   void AppendFlightState(LogLine& aLine) const;
@@ -68,7 +71,7 @@
   /// Returns the response if the request is rejected.
   Awaitable<std::optional<LocalResponse>> AllotCredit();
   /// Waits for the next draw of credit, for at most
-  /// `ForwardingOptions::m_maxCreditWait` after arrival.
+  /// `ForwardingOptions::m_maxCreditWait` after arrival and until the deadline.
   Awaitable<AllotResult> AwaitCredit(std::uint64_t aMaxTokens);
   Awaitable<void> Forward();
   PlacementRequest MakePlacementRequest(Instant aNow) const;
--- a/lib/Forwarding/GatewayServer.cpp
+++ b/lib/Forwarding/GatewayServer.cpp
@@ -31,6 +31,12 @@
 /// Shortest delay of a tick that counts as a blocked event loop, and not as the
 /// resolution of timeouts: five tick intervals.
 constexpr Duration kMinStall = std::chrono::milliseconds(100);
+/// Time that the process needs to return its credit and exit before the
+/// platform kills it, `graceS` after the stop request.
+constexpr Duration kForcedStopMargin = std::chrono::milliseconds(600);
+/// Time between the deadline of the last requests and the forced end: an
+/// overdue exchange may go on for 200 ms, and its answer has to be written.
+constexpr Duration kLastAnswersMargin = std::chrono::milliseconds(300);
 /// Interval at which the log is flushed.
 constexpr Duration kLogInterval = std::chrono::milliseconds(200);
 
@@ -257,8 +263,16 @@
     return;
   }
   m_state->m_isStopping = true;
-  m_stopRequestedAt = m_state->Now();
+  const Instant now = m_state->Now();
+  m_stopRequestedAt = now;
   m_onStopped = std::move(aOnStopped);
+  m_state->m_answersDueBy =
+    now + m_options.m_grace - kForcedStopMargin - kLastAnswersMargin;
+  for (auto& [id, session] : m_sessions) {
+    if (session.m_run) {
+      session.m_run->LimitDeadline(*m_state->m_answersDueBy);
+    }
+  }
 }
 
 void
@@ -277,8 +291,6 @@
   for (auto& [id, session] : m_sessions) {
     session.m_caller->EndIdleWait();
   }
-  // Time that the process needs to exit before the platform kills it.
-  constexpr Duration kForcedStopMargin = std::chrono::milliseconds(600);
   const bool isDone = m_state->m_requestsInFlight == 0 && m_sessions.empty();
   if ((isDone || elapsed > m_options.m_grace - kForcedStopMargin) &&
       m_onStopped) {
--- a/lib/Forwarding/RequestAdmission.cpp
+++ b/lib/Forwarding/RequestAdmission.cpp
@@ -57,7 +57,10 @@
   }
   m_deadline = m_arrivedAt + m_route->m_timeout;
   if (m_request.m_timeLimit) {
-    m_deadline = std::min(m_deadline, m_arrivedAt + *m_request.m_timeLimit);
+    LimitDeadline(m_arrivedAt + *m_request.m_timeLimit);
+  }
+  if (m_state->m_answersDueBy) {
+    LimitDeadline(*m_state->m_answersDueBy);
   }
   m_service = PickService(*m_route, m_request.m_attemptId);
   m_serviceInfo = m_table->FindService(m_service);
@@ -201,7 +204,8 @@
   credit.AddWaiter(account, aMaxTokens);
   asio::steady_timer timer(m_executor);
   const Instant until = m_arrivedAt + m_state->m_options.m_maxCreditWait;
-  while (allotResult == AllotResult::kNotGranted && m_state->Now() < until &&
+  while (allotResult == AllotResult::kNotGranted &&
+         m_state->Now() < std::min(until, m_deadline) &&
          credit.CanObtain(account, m_state->Now()) && m_state->m_drawCredit()) {
     timer.expires_after(m_state->m_options.m_creditPollInterval);
     boost::system::error_code ignored;
--- a/lib/Forwarding/RequestTimeouts.cpp
+++ b/lib/Forwarding/RequestTimeouts.cpp
@@ -74,6 +74,12 @@
   return false;
 }
 
+void
+RequestRun::LimitDeadline(Instant aLatest)
+{
+  m_deadline = std::min(m_deadline, aLatest);
+}
+
 void
 RequestRun::Tick(Instant aNow, Duration aStall)
 {
--- a/unittests/Platform/LateRequestInStopTest.cpp
+++ b/unittests/Platform/LateRequestInStopTest.cpp
@@ -9,9 +9,12 @@
 
 namespace {
 
-/// From the stop request to the end of the process; the forced end comes 600 ms
-/// before.
+/// From the stop request to the end of the process. The forced end comes 600 ms
+/// before, and every answer is due 300 ms before that.
 constexpr milliseconds kGrace(1600);
+constexpr milliseconds kAnswersDue(700);
+/// Until the answers that were due have been sent, but not yet the forced end.
+constexpr milliseconds kAnswersSent(900);
 
 bool
 Contains(const std::string& aText, const std::string& aPart)
@@ -26,6 +29,37 @@
   StoppingGateway()
     : GatewayFixture(kGrace)
   {
+    RoutingConfig config = Config();
+    for (Route& route : config.m_routes) {
+      route.m_timeout = kTimeout;
+    }
+    m_state.m_routes = std::make_shared<const RouteTable>(std::move(config));
+  }
+
+  /// A request whose own time limit ends long after the stop.
+  static std::string LateRequest(const std::string& aPath)
+  {
+    std::string request = KeepAliveRequest(aPath);
+    const std::string limit = "Timeout-Ms: 1500";
+    return request.replace(request.find(limit),
+                           limit.size(),
+                           "Timeout-Ms: " + std::to_string(kTimeout.count()));
+  }
+
+  /// Scripts both upstreams, of which the next exchange uses one.
+  void Script(const ScriptedUpstream::Script& aScript)
+  {
+    m_firstUpstream.m_scripts = { aScript };
+    m_secondUpstream.m_scripts = { aScript };
+  }
+
+  std::vector<std::string> PassedOn() const
+  {
+    std::vector<std::string> requests = m_firstUpstream.m_requests;
+    requests.insert(requests.end(),
+                    m_secondUpstream.m_requests.begin(),
+                    m_secondUpstream.m_requests.end());
+    return requests;
   }
 
   void Stop()
@@ -33,9 +67,21 @@
     m_server.BeginStop([this] { m_isStopped = true; });
   }
 
+  static constexpr milliseconds kTimeout{ 5000 };
   bool m_isStopped = false;
 };
 
+/// The time limit that a request names, in milliseconds.
+int
+TimeLimitOf(const std::string& aRequest)
+{
+  const std::string field = "Timeout-Ms: ";
+  REQUIRE(Contains(aRequest, field));
+  return std::stoi(aRequest.substr(aRequest.find(field) + field.size()));
+}
+
+const ScriptedUpstream::Script kSilent{ "", true };
+
 } // namespace
 
 // Regression: nothing told which requests the end of a stop had cut.
@@ -50,8 +96,7 @@
     stream += GatewayFixture::Chunk("id: " + std::to_string(i) +
                                     "\ndata: " + event + "\n\n");
   }
-  gateway.m_firstUpstream.m_scripts = { { stream } };
-  gateway.m_secondUpstream.m_scripts = { { stream } };
+  gateway.Script({ stream });
   RawSocket caller(gateway.m_callerAddress);
   caller.Send(KeepAliveRequest("/stream/"));
   gateway.RunFor(milliseconds(200));
@@ -77,3 +122,91 @@
     CHECK(gateway.m_state.m_counters.m_requestsCut == 1);
   }
 }
+
+// Regression: only the last step of a stop knew when it ended, so that requests
+// were cut there in the middle of their time.
+TEST_CASE("a request that outlasts a stop", "[stop]")
+{
+  StoppingGateway gateway;
+  REQUIRE(gateway.m_startStatus.ok());
+  RawSocket caller(gateway.m_callerAddress);
+
+  SECTION("is answered before the forced end if it was in flight")
+  {
+    const std::string path = GENERATE("/once/", "/stream/", "/again/");
+    gateway.Script(kSilent);
+    caller.Send(StoppingGateway::LateRequest(path));
+    gateway.RunFor(milliseconds(100));
+    gateway.Stop();
+    gateway.RunFor(kAnswersSent);
+    CHECK(caller.Received().starts_with("HTTP/1.1 504"));
+    CHECK(Contains(caller.Received(), "Connection: close\r\n"));
+    CHECK(caller.IsClosedByGateway());
+    gateway.RunFor(milliseconds(300));
+    CHECK(gateway.m_isStopped);
+    CHECK(gateway.m_state.m_counters.m_requestsCut == 0);
+  }
+
+  SECTION("is passed on with the time that is left until the answers are due")
+  {
+    gateway.Script(kSilent);
+    const std::string request = StoppingGateway::LateRequest("/once/");
+    caller.Send(request.substr(0, request.size() - 1));
+    gateway.RunFor(milliseconds(100));
+    gateway.Stop();
+    gateway.RunFor(milliseconds(200));
+    caller.Send(request.substr(request.size() - 1));
+    gateway.RunFor(milliseconds(100));
+    REQUIRE(gateway.PassedOn().size() == 1);
+    CHECK(TimeLimitOf(gateway.PassedOn().front()) <= 500);
+    gateway.RunFor(kAnswersSent - milliseconds(300));
+    CHECK(caller.Received().starts_with("HTTP/1.1 504"));
+    CHECK(caller.IsClosedByGateway());
+  }
+
+  SECTION("is closed without its end if it is a stream that has begun")
+  {
+    gateway.Script(
+      { StreamHeadOf() + GatewayFixture::Chunk("id: 1\ndata: a\n\n"), true });
+    caller.Send(StoppingGateway::LateRequest("/stream/"));
+    gateway.RunFor(milliseconds(100));
+    gateway.Stop();
+    gateway.RunFor(kAnswersDue - milliseconds(50));
+    CHECK_FALSE(caller.IsClosedByGateway());
+    gateway.RunFor(kAnswersSent - kAnswersDue + milliseconds(50));
+    CHECK(caller.IsClosedByGateway());
+    CHECK(Contains(caller.Received(), "data: a"));
+    CHECK_FALSE(caller.Received().ends_with("0\r\n\r\n"));
+    CHECK(Contains(gateway.m_logPipe.LineOf("caller.closed"),
+                   "\"cause\":\"deadline\""));
+  }
+
+  SECTION("is refused if it still waits for credit and was never passed on")
+  {
+    CreditBook& credit = gateway.m_state.m_credit;
+    const AccountId account("school");
+    credit.SetPrepaid(account, GatewayFixture::kPrepaid);
+    CreditRecord record;
+    const auto plan = credit.Plan(record, gateway.m_state.Now());
+    REQUIRE(plan);
+    credit.Confirm();
+    record.Apply(*plan);
+    gateway.m_state.m_options.m_maxCreditWait = StoppingGateway::kTimeout;
+    gateway.m_state.m_drawCredit = [] { return true; };
+    const std::uint64_t tokens = credit.Spendable(account) + 1'000;
+    std::string request = StoppingGateway::LateRequest("/once/");
+    const std::string key = "Authorization: Bearer key\r\n";
+    request.replace(request.find(key),
+                    key.size(),
+                    "Authorization: Bearer prepaid-key\r\n"
+                    "Bergamotpaddle-Token-Usage: " +
+                      std::to_string(tokens) + ",100\r\n");
+    caller.Send(request);
+    gateway.RunFor(milliseconds(100));
+    gateway.Stop();
+    gateway.RunFor(kAnswersSent);
+    CHECK(caller.Received().starts_with("HTTP/1.1 503"));
+    CHECK(Contains(caller.Received(), "Retry-After: "));
+    CHECK(gateway.PassedOn().empty());
+  }
+}
