Refuse what a stopping router cannot answer before its end

Callers whose requests came late in a planned stop of one gateway got no answer, or 504 at its end, though every other gateway would have served them. A request that must not run twice is lost with that.

Cause: admission went on as in normal service until the process ended, also for requests whose body was complete only seconds after the stop request.

Now `StopAdmission` decides, without I/O, before a request that has not run is sent: it is passed on if its own time limit ends before the stop, or if few of the latest 40 requests of its route took longer than the time left (5 % for calls that run once and for streams, which their callers lose; 25 % for repeatable calls). While fewer than 8 durations are known, four times the latency objective has to fit, and a stream that cannot be resumed is refused. Otherwise the caller gets 503 at once (true: it was never sent, or proved not run) with Retry-After of 100 ms and can turn to another gateway. So a route whose timeout is 15 s but whose work takes 0.3 s is served until shortly before the end. A request whose earlier send may have run goes on as before.

--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -9,6 +9,7 @@
 #include "bergamotpaddle/Gateway/Placement.h"
 #include "bergamotpaddle/Gateway/PromptQuarantine.h"
 #include "bergamotpaddle/Gateway/RetryBudget.h"
+#include "bergamotpaddle/Gateway/StopAdmission.h"
 #include "bergamotpaddle/Gateway/StoreAvailability.h"
 #include "bergamotpaddle/Logging/EventLog.h"
 #include "bergamotpaddle/Metrics/Traffic.h"
@@ -57,6 +58,8 @@
   /// Requests, some of them still being read, whose connections the forced end
   /// of a shutdown closed.
   std::uint64_t m_requestsCut = 0;
+  /// Requests that were not passed on since a shutdown left too little time.
+  std::uint64_t m_stopRefusals = 0;
   TrafficCounters m_traffic;
   std::uint64_t m_connectionsAccepted = 0; ///< From callers.
   /// How late the event loop ran its ticks; all other handlers of the loop are
@@ -110,6 +113,9 @@
   Duration m_retryAfterTransient = std::chrono::milliseconds(400);
   /// `Retry-After` for lack of credit, which is drawn about once a second.
   Duration m_retryAfterDraw = std::chrono::milliseconds(1000);
+  /// `Retry-After` of requests that come too late in a shutdown: another router
+  /// can take them at once.
+  Duration m_retryAfterStop = std::chrono::milliseconds(100);
   /// Shortest `Retry-After` of a request with a quarantined prompt part.
   Duration m_minQuarantineRetry = std::chrono::seconds(1);
   /// Resolution of all timeouts.
@@ -149,6 +155,7 @@
   bool m_isStopping = false;
   /// During a graceful shutdown: when every request must have its answer.
   std::optional<Instant> m_answersDueBy;
+  StopAdmission m_stopAdmission;
   std::size_t m_requestsInFlight = 0;
   std::uint64_t m_bufferedRequestBytes = 0;
   std::uint64_t m_bufferedResponseBytes = 0; ///< Of responses being buffered.
--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -65,6 +65,15 @@
   /// Whether the request must not be sent since a part of its prompt was
   /// quarantined after its admission.
   bool IsPromptQuarantined();
+  /// Whether the request, which has not run, must not be sent since a shutdown
+  /// leaves it too little time, with the reason in m_code and m_errorMessage.
+  bool IsTooLateForStop();
+  /// Records the duration of a request that was served or timed out.
+  void NoteDuration();
+  /// `Retry-After` of a refusal with \p aCode.
+  Duration RetryAfter(ResultCode aCode) const;
+  /// The deadline by the caller's time limit and the route's timeout alone.
+  Instant OwnDeadline() const;
   /// Records that the response of the exchange in flight began.
   void NoteResponseBegun();
   /// Allots credit for a prepaid request, after the next draw if necessary.
--- a/lib/Forwarding/GatewayMetrics.cpp
+++ b/lib/Forwarding/GatewayMetrics.cpp
@@ -72,6 +72,10 @@
                "counter",
                "Requests cut by the forced end of a shutdown.",
                counters.m_requestsCut);
+  appendSingle("bergamotpaddle_stop_refusals_total",
+               "counter",
+               "Requests refused since a shutdown left too little time.",
+               counters.m_stopRefusals);
   appendSingle("bergamotpaddle_events_total",
                "counter",
                "Events of streams passed on.",
--- a/lib/Forwarding/RequestAdmission.cpp
+++ b/lib/Forwarding/RequestAdmission.cpp
@@ -55,10 +55,7 @@
   if (std::optional<LocalResponse> rejection = CheckCaller()) {
     return rejection;
   }
-  m_deadline = m_arrivedAt + m_route->m_timeout;
-  if (m_request.m_timeLimit) {
-    LimitDeadline(m_arrivedAt + *m_request.m_timeLimit);
-  }
+  m_deadline = OwnDeadline();
   if (m_state->m_answersDueBy) {
     LimitDeadline(*m_state->m_answersDueBy);
   }
@@ -146,6 +143,56 @@
   return true;
 }
 
+Instant
+RequestRun::OwnDeadline() const
+{
+  return m_arrivedAt +
+         std::min(m_route->m_timeout,
+                  m_request.m_timeLimit.value_or(m_route->m_timeout));
+}
+
+bool
+RequestRun::IsTooLateForStop()
+{
+  if (!m_state->m_answersDueBy || !m_progress->IsProvedNotRun()) {
+    return false;
+  }
+  const Instant now = m_state->Now();
+  const LateRequest late{ OwnDeadline() - now, *m_state->m_answersDueBy - now };
+  if (m_state->m_stopAdmission.MayPassOn(*m_route, late)) {
+    return false;
+  }
+  ++m_state->m_counters.m_stopRefusals;
+  m_code = ResultCode::kDraining;
+  m_errorMessage = "the router stops before the request would be answered";
+  return true;
+}
+
+void
+RequestRun::NoteDuration()
+{
+  // During a shutdown, the long requests would be missing.
+  const bool isMeasured =
+    m_code == ResultCode::kOk || m_state->Now() >= m_deadline;
+  if (isMeasured && !m_state->m_answersDueBy) {
+    m_state->m_stopAdmission.NoteDuration(m_route->m_name, Elapsed());
+  }
+}
+
+Duration
+RequestRun::RetryAfter(ResultCode aCode) const
+{
+  const ForwardingOptions& options = m_state->m_options;
+  switch (aCode) {
+    case ResultCode::kPromptQuarantined:
+      return options.m_minQuarantineRetry;
+    case ResultCode::kDraining:
+      return options.m_retryAfterStop;
+    default:
+      return options.m_retryAfterTransient;
+  }
+}
+
 void
 RequestRun::NoteResponseBegun()
 {
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -79,6 +79,7 @@
     co_await Forward();
     m_caller->StopDisconnectWatch();
     SettleCredit();
+    NoteDuration();
   }
   ++m_state->m_counters.m_requestsByCode[m_code];
   m_state->m_counters.m_requestTime.Record(Elapsed());
@@ -90,7 +91,7 @@
 {
   ExchangeResult exchangeResult = ExchangeResult::kNeverSent;
   do {
-    if (IsPromptQuarantined() || !ChooseUpstream()) {
+    if (IsPromptQuarantined() || IsTooLateForStop() || !ChooseUpstream()) {
       break;
     }
     exchangeResult = co_await RunExchange();
@@ -515,13 +516,7 @@
     const std::string errorMessage = m_errorMessage.empty()
                                        ? "upstreams did not take the request"
                                        : m_errorMessage;
-    const ForwardingOptions& options = m_state->m_options;
-    LocalResponse refusal{ 503,
-                           code,
-                           errorMessage,
-                           code == ResultCode::kPromptQuarantined
-                             ? options.m_minQuarantineRetry
-                             : options.m_retryAfterTransient };
+    LocalResponse refusal{ 503, code, errorMessage, RetryAfter(code) };
     co_await RespondLocally(std::move(refusal));
     co_return;
   }
--- a/unittests/Platform/LateRequestInStopTest.cpp
+++ b/unittests/Platform/LateRequestInStopTest.cpp
@@ -154,12 +154,12 @@
     caller.Send(request.substr(0, request.size() - 1));
     gateway.RunFor(milliseconds(100));
     gateway.Stop();
-    gateway.RunFor(milliseconds(200));
+    gateway.RunFor(milliseconds(100));
     caller.Send(request.substr(request.size() - 1));
     gateway.RunFor(milliseconds(100));
     REQUIRE(gateway.PassedOn().size() == 1);
-    CHECK(TimeLimitOf(gateway.PassedOn().front()) <= 500);
-    gateway.RunFor(kAnswersSent - milliseconds(300));
+    CHECK(TimeLimitOf(gateway.PassedOn().front()) <= 600);
+    gateway.RunFor(kAnswersSent - milliseconds(200));
     CHECK(caller.Received().starts_with("HTTP/1.1 504"));
     CHECK(caller.IsClosedByGateway());
   }
@@ -210,3 +210,92 @@
     CHECK(gateway.PassedOn().empty());
   }
 }
+
+// Regression: requests were passed on although the stop would end long before
+// their upstreams could answer.
+TEST_CASE("a request that cannot be answered before the end of a stop",
+          "[stop]")
+{
+  StoppingGateway gateway;
+  REQUIRE(gateway.m_startStatus.ok());
+  RawSocket caller(gateway.m_callerAddress);
+  const auto isRefused = [&] {
+    const std::string response = caller.Received();
+    return response.starts_with("HTTP/1.1 503") &&
+           Contains(response, "Retry-After: ") &&
+           Contains(response, "Connection: close\r\n") &&
+           caller.IsClosedByGateway() && gateway.PassedOn().empty();
+  };
+  // Sends all of the request but its last byte, begins the stop, and completes
+  // the request after aDelay.
+  const auto completeInStop = [&](const std::string& aRequest,
+                                  milliseconds aDelay) {
+    caller.Send(aRequest.substr(0, aRequest.size() - 1));
+    gateway.RunFor(milliseconds(100));
+    gateway.Stop();
+    gateway.RunFor(aDelay);
+    caller.Send(aRequest.substr(aRequest.size() - 1));
+    gateway.RunFor(milliseconds(100));
+  };
+
+  SECTION("is refused at once when its body is complete, and not passed on")
+  {
+    gateway.Script(kSilent);
+    completeInStop(StoppingGateway::LateRequest("/once/"), milliseconds(500));
+    CHECK(isRefused());
+  }
+
+  SECTION("is refused if others of its route have taken longer of late")
+  {
+    for (int i = 0; i < 8; ++i) {
+      gateway.Script({ "",
+                       false,
+                       false,
+                       milliseconds(600),
+                       GatewayFixture::SealedResponse() });
+      gateway.Call(GatewayFixture::Request("/once/"));
+    }
+    gateway.m_firstUpstream.m_requests.clear();
+    gateway.m_secondUpstream.m_requests.clear();
+    gateway.Script(kSilent);
+    completeInStop(StoppingGateway::LateRequest("/once/"), milliseconds(150));
+    CHECK(isRefused());
+  }
+
+  SECTION("is refused on every kind of route if almost no time is left")
+  {
+    gateway.Script({ GatewayFixture::SealedResponse() });
+    const std::string path = GENERATE("/once/", "/again/", "/resume/");
+    const std::string request = StoppingGateway::LateRequest(path);
+    completeInStop(request, milliseconds(690));
+    CHECK(isRefused());
+  }
+
+  SECTION("is served if the work of its route is short")
+  {
+    gateway.Script({ "",
+                     false,
+                     false,
+                     milliseconds(100),
+                     GatewayFixture::SealedResponse() });
+    completeInStop(StoppingGateway::LateRequest("/once/"), milliseconds(100));
+    gateway.RunFor(milliseconds(100));
+    CHECK(caller.Received().starts_with("HTTP/1.1 200"));
+    CHECK(Contains(caller.Received(), "Connection: close\r\n"));
+  }
+
+  SECTION("is served if its own time limit ends before the stop")
+  {
+    gateway.Script({ "",
+                     false,
+                     false,
+                     milliseconds(100),
+                     GatewayFixture::SealedResponse() });
+    std::string request = StoppingGateway::LateRequest("/stream/");
+    const std::string limit = "Timeout-Ms: 5000";
+    request.replace(request.find(limit), limit.size(), "Timeout-Ms: 300");
+    completeInStop(request, milliseconds(200));
+    gateway.RunFor(milliseconds(100));
+    CHECK(caller.Received().starts_with("HTTP/1.1 200"));
+  }
+}
