Answer a request whose body is not complete when a stop ends

A caller whose request was still arriving at the end of a planned stop saw its connection close without a word.

Cause: the wait for the rest of a request knew only its own limits (3 s for a head, 15 s for a body), not the end of the stop.

Now that wait ends when all answers are due, and the caller gets 503 with Retry-After and `Connection: close`: such a request was never passed on.

A test is added for what held before: a request that crosses the close of its connection in a stop is not passed on.

--- a/lib/Forwarding/CallerConnection.cpp
+++ b/lib/Forwarding/CallerConnection.cpp
@@ -170,6 +170,17 @@
   if (error == http::error::end_of_stream) {
     co_return ReadResult::kClosed;
   }
+  const bool isCutByStop = error == asio::error::operation_aborted &&
+                           m_socket.is_open() && m_state->m_answersDueBy &&
+                           m_state->Now() >= *m_state->m_answersDueBy;
+  if (isCutByStop) {
+    const LocalResponse refusal{ kUnavailable,
+                                 ResultCode::kDraining,
+                                 "the router stops before the request arrived",
+                                 m_state->m_options.m_retryAfterStop };
+    co_await SendLocalResponse(refusal);
+    co_return ReadResult::kRejected;
+  }
   if (error) {
     const bool isTransportError =
       error.category() != make_error_code(http::error::bad_field).category();
@@ -401,6 +412,9 @@
     return;
   }
   *m_waitDeadline += aStall;
+  if (m_isReadingRequest && m_state->m_answersDueBy) {
+    m_waitDeadline = std::min(*m_waitDeadline, *m_state->m_answersDueBy);
+  }
   if (aNow >= *m_waitDeadline) {
     EndWait();
   }
--- a/unittests/Platform/LateRequestInStopTest.cpp
+++ b/unittests/Platform/LateRequestInStopTest.cpp
@@ -299,3 +299,66 @@
     CHECK(caller.Received().starts_with("HTTP/1.1 200"));
   }
 }
+
+// Regression: a connection whose request was still arriving was cut at the end
+// of a stop without a word.
+TEST_CASE("a request whose body is not complete when a stop ends", "[stop]")
+{
+  StoppingGateway gateway;
+  REQUIRE(gateway.m_startStatus.ok());
+  const std::string request = StoppingGateway::LateRequest("/once/");
+  RawSocket caller(gateway.m_callerAddress);
+  caller.Send(request.substr(0, request.size() - 1));
+  RawSocket headCaller(gateway.m_callerAddress);
+  headCaller.Send(request.substr(0, 20));
+  gateway.RunFor(milliseconds(100));
+  gateway.Stop();
+  gateway.RunFor(kAnswersDue - milliseconds(50));
+  CHECK_FALSE(caller.IsClosedByGateway());
+  CHECK_FALSE(headCaller.IsClosedByGateway());
+  gateway.RunFor(kAnswersSent - kAnswersDue + milliseconds(50));
+
+  SECTION("is refused before the forced end")
+  {
+    for (RawSocket* each : { &caller, &headCaller }) {
+      CHECK(each->Received().starts_with("HTTP/1.1 503"));
+      CHECK(Contains(each->Received(), "Retry-After: "));
+      CHECK(Contains(each->Received(), "Connection: close\r\n"));
+      CHECK(each->IsClosedByGateway());
+    }
+    CHECK(gateway.PassedOn().empty());
+  }
+
+  SECTION("lets the process end without a cut")
+  {
+    gateway.RunFor(milliseconds(600));
+    CHECK(gateway.m_isStopped);
+    CHECK(gateway.m_state.m_counters.m_requestsCut == 0);
+  }
+}
+
+TEST_CASE("a request that crosses the close of its connection in a stop",
+          "[stop]")
+{
+  StoppingGateway gateway;
+  REQUIRE(gateway.m_startStatus.ok());
+  const std::string path = GENERATE("/once/", "/stream/");
+  const std::string head =
+    path == "/stream/"
+      ? StreamHeadOf() + GatewayFixture::Chunk("id: 1\ndata: a\n\n")
+      : "";
+  const std::string rest =
+    path == "/stream/" ? "0\r\n\r\n" : GatewayFixture::SealedResponse();
+  gateway.Script({ head, false, false, milliseconds(300), rest });
+  RawSocket caller(gateway.m_callerAddress);
+  caller.Send(StoppingGateway::LateRequest(path));
+  gateway.RunFor(milliseconds(100));
+  gateway.Stop();
+  gateway.RunFor(milliseconds(100));
+  caller.Send(StoppingGateway::LateRequest("/once/"));
+  gateway.RunFor(milliseconds(400));
+  CHECK(caller.Received().starts_with("HTTP/1.1 200"));
+  CHECK(caller.Received().ends_with(path == "/stream/" ? "0\r\n\r\n" : "done"));
+  CHECK(caller.IsClosedByGateway());
+  CHECK(gateway.PassedOn().size() == 1);
+}
