--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -9,6 +9,7 @@
 #include "bergamotpaddle/Gateway/Placement.h"
 #include "bergamotpaddle/Gateway/PromptQuarantine.h"
 #include "bergamotpaddle/Gateway/RetryBudget.h"
+#include "bergamotpaddle/Gateway/StopAdmission.h"
 #include "bergamotpaddle/Gateway/StoreAvailability.h"
 #include "bergamotpaddle/Logging/EventLog.h"
 #include "bergamotpaddle/Metrics/Traffic.h"
@@ -58,6 +59,11 @@
   LatencyHistogram m_requestTime; ///< From a request to the response's end.
   LatencyHistogram m_connectTime; ///< Of connections made to upstreams.
   std::uint64_t m_connectTimeouts = 0; ///< Of connections to upstreams.
+  /// Requests, some of them still being read, whose connections the forced end
+  /// of a shutdown closed.
+  std::uint64_t m_requestsCut = 0;
+  /// Requests that were not passed on since a shutdown left too little time.
+  std::uint64_t m_stopRefusals = 0;
   TrafficCounters m_traffic;
   std::uint64_t m_connectionsAccepted = 0; ///< From callers.
   /// How late the event loop ran its ticks; all other handlers of the loop are
@@ -117,6 +123,9 @@
   Duration m_retryAfterTransient = std::chrono::milliseconds(400);
   /// `Retry-After` for lack of credit, which is drawn about once a second.
   Duration m_retryAfterDraw = std::chrono::milliseconds(1000);
+  /// `Retry-After` of requests that come too late in a shutdown: another router
+  /// can take them at once.
+  Duration m_retryAfterStop = std::chrono::milliseconds(100);
   /// Shortest `Retry-After` of a request with a quarantined prompt part.
   Duration m_minQuarantineRetry = std::chrono::seconds(1);
   /// Resolution of all timeouts.
@@ -154,6 +163,9 @@
   GatewayCounters m_counters;
   EventLog* m_log;
   bool m_isStopping = false;
+  /// During a graceful shutdown: when every request must have its answer.
+  std::optional<Instant> m_answersDueBy;
+  StopAdmission m_stopAdmission;
   std::size_t m_requestsInFlight = 0;
   std::uint64_t m_bufferedRequestBytes = 0;
   std::uint64_t m_bufferedResponseBytes = 0; ///< Of responses being buffered.
--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -32,6 +32,13 @@
   /// timeout but not the deadline.
   void Tick(Instant aNow, Duration aStall);
 
+  /// Moves the deadline forward to \p aLatest if it is later.
+  void LimitDeadline(Instant aLatest);
+
+  /// Adds to \p aLine which request this is, how long it has been in flight,
+  /// whether it was passed on, and whether its response has begun.
+  void AppendFlightState(LogLine& aLine) const;
+
 private:
   /// Determines route, account, service and deadline. Returns the response if
   /// the request is rejected.
@@ -47,11 +54,20 @@
   /// Whether the request must not be sent since a part of its prompt was
   /// quarantined after its admission.
   bool IsPromptQuarantined();
+  /// Whether the request, which has not run, must not be sent since a shutdown
+  /// leaves it too little time, with the reason in m_code and m_errorMessage.
+  bool IsTooLateForStop();
+  /// Records the duration of a request that was served or timed out.
+  void NoteDuration();
+  /// `Retry-After` of a refusal with \p aCode.
+  Duration RetryAfter(ResultCode aCode) const;
+  /// The deadline by the caller's time limit and the route's timeout alone.
+  Instant OwnDeadline() const;
   /// Allots credit for a prepaid request, after the next draw if necessary.
   /// Returns the response if the request is rejected.
   Awaitable<std::optional<LocalResponse>> AllotCredit();
   /// Waits for the next draw of credit, for at most
-  /// `ForwardingOptions::m_maxCreditWait` after arrival.
+  /// `ForwardingOptions::m_maxCreditWait` after arrival and until the deadline.
   Awaitable<AllotResult> AwaitCredit(std::uint64_t aMaxTokens);
   Awaitable<void> Forward();
   PlacementRequest MakePlacementRequest(Instant aNow) const;
--- a/lib/Forwarding/CallerConnection.cpp
+++ b/lib/Forwarding/CallerConnection.cpp
@@ -137,6 +137,7 @@
   parser.body_limit(limits.m_maxBodyBytes);
   ErrorCode error;
   const Instant startedAt = m_state->Now();
+  m_isReadingRequest = true;
   m_waitDeadline = startedAt + limits.m_headerTimeout;
   std::size_t received =
     co_await http::async_read_header(m_socket, m_buffer, parser, Into(error));
@@ -147,6 +148,7 @@
                                  ResultCode::kOverloaded,
                                  "too many bodies are in memory",
                                  std::chrono::milliseconds(500) };
+    m_isReadingRequest = false;
     co_await SendLocalResponse(refusal);
     co_return ReadResult::kRejected;
   }
@@ -164,9 +166,21 @@
   }
   m_state->m_counters.m_traffic.Record(TrafficPeer::kCallers, 0, received);
   m_waitDeadline.reset();
+  m_isReadingRequest = false;
   if (error == http::error::end_of_stream) {
     co_return ReadResult::kClosed;
   }
+  const bool isCutByStop = error == asio::error::operation_aborted &&
+                           m_socket.is_open() && m_state->m_answersDueBy &&
+                           m_state->Now() >= *m_state->m_answersDueBy;
+  if (isCutByStop) {
+    const LocalResponse refusal{ kUnavailable,
+                                 ResultCode::kDraining,
+                                 "the router stops before the request arrived",
+                                 m_state->m_options.m_retryAfterStop };
+    co_await SendLocalResponse(refusal);
+    co_return ReadResult::kRejected;
+  }
   if (error) {
     const bool isTransportError =
       error.category() != make_error_code(http::error::bad_field).category();
@@ -398,6 +412,9 @@
     return;
   }
   *m_waitDeadline += aStall;
+  if (m_isReadingRequest && m_state->m_answersDueBy) {
+    m_waitDeadline = std::min(*m_waitDeadline, *m_state->m_answersDueBy);
+  }
   if (aNow >= *m_waitDeadline) {
     EndWait();
   }
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -77,6 +77,7 @@
     co_await Forward();
     m_caller->StopDisconnectWatch();
     SettleCredit();
+    NoteDuration();
   }
   ++m_state->m_counters.m_requestsByCode[m_code];
   m_state->m_counters.m_requestTime.Record(Elapsed());
@@ -88,7 +89,7 @@
 {
   bool isDelivered = false;
   do {
-    if (IsPromptQuarantined()) {
+    if (IsPromptQuarantined() || IsTooLateForStop()) {
       break;
     }
     const std::optional<PlacementChoice> choice = ChooseUpstream();
@@ -532,13 +533,7 @@
     const std::string errorMessage = m_errorMessage.empty()
                                        ? "upstreams did not take the request"
                                        : m_errorMessage;
-    const ForwardingOptions& options = m_state->m_options;
-    LocalResponse refusal{ 503,
-                           code,
-                           errorMessage,
-                           code == ResultCode::kPromptQuarantined
-                             ? options.m_minQuarantineRetry
-                             : options.m_retryAfterTransient };
+    LocalResponse refusal{ 503, code, errorMessage, RetryAfter(code) };
     co_await RespondLocally(std::move(refusal));
     co_return;
   }
--- a/lib/Forwarding/RequestTimeouts.cpp
+++ b/lib/Forwarding/RequestTimeouts.cpp
@@ -115,6 +115,12 @@
   m_attempt->Abort(AbortReason::kIdleTimeout);
 }
 
+void
+RequestRun::LimitDeadline(Instant aLatest)
+{
+  m_deadline = std::min(m_deadline, aLatest);
+}
+
 void
 RequestRun::Tick(Instant aNow, Duration aStall)
 {
