--- a/unittests/Platform/SoundUpstreamAbandonedTest.cpp
+++ b/unittests/Platform/SoundUpstreamAbandonedTest.cpp
@@ -228,7 +228,7 @@
   SECTION("is at work at two upstreams for less than 400 ms if it is a stream")
   {
     // While both work on it, the event loop is blocked for some time.
-    const int blockedMs = GENERATE(0, 40);
+    const int blockedMs = GENERATE(0, 20);
     CAPTURE(blockedMs);
     fixture.Script({ BegunStream(), true }, { "", true });
     std::optional<std::chrono::steady_clock::time_point> since;
