Tests: each platform stand-in has a loopback network of its own

Cause: ports were looked for on 127.0.0.1, but gateways bind 127.0.0.2, so that two tests at once may choose the same. Evidence: 4 loops of 100 starts side by side on that commit failed once in 400, with the same message, the process ended with 3 and 'cannot listen on 127.0.0.2:23514: Address already in use'.

Fix: the gateways of a stand-in have a random network below 127.0.0.0/8, and a test whose gateway has ended fails at once with its log.

--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -73,6 +73,8 @@
         await self.start_upstream(name, name, answer())
         give_up_at = time.monotonic() + 20
         while (await self.caller().call(f"/{name}/", 500)).status != 200:
+            if self.process.poll() is not None:
+                raise RuntimeError("the gateway ended: " + self.platform.logs(2))
             if time.monotonic() > give_up_at:
                 raise TimeoutError("the gateway does not serve")
             await asyncio.sleep(0.05)
--- a/test/platform_stand_in.py
+++ b/test/platform_stand_in.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import subprocess
 import sys
 import tempfile
@@ -135,6 +136,8 @@
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
         self.caller_port, self.ready_port, self.peer_port = free_ports(3)
+        # A network of its own: ports are free on 127.0.0.1, but gateways of another test may use them elsewhere.
+        self.network = "127.%d.%d" % (random.randrange(1, 255), random.randrange(256))
         self.gateways = []
         self.store = self.run_in_loop(self.start_store())
 
@@ -161,7 +164,7 @@
 
     def start_gateway(self, number, link_mbps, store_port=None, seeds=(), bounds=None):
         """Starts a gateway on its own loopback address, which is returned; the ports are the same for all gateways."""
-        ip = f"127.0.0.{number}"
+        ip = f"{self.network}.{number}"
         settings = {
             "node": f"front-{number}", "zone": "z", "ip": ip,
             "listen": {"front": f"{ip}:{self.caller_port}", "ready": f"{ip}:{self.ready_port}"},
