--- a/review/world.py
+++ b/review/world.py
@@ -445,5 +445,12 @@
             world.close()
             sys.stdout.flush()
 
+    def stop():
+        world.close()
+        os._exit(2)
+
+    loop = asyncio.new_event_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop)
     # The stand-ins' tasks still wait on their channels: end without a clean-up of the event loop.
-    os._exit(asyncio.new_event_loop().run_until_complete(run()))
+    os._exit(loop.run_until_complete(run()))
