Split lib/Gateway by what it decides: Routing, Scheduling, Credit, Feed and the rest

Change: pure moves, imports adapted and one-way: Routing <- Scheduling <- Gateway, Credit and Feed beside them; test programs split alike (UpstreamViewTest stays with Gateway since it reads digests). Measured: builds; the five test programs pass.

--- a/include/bergamotpaddle/Gateway/CreditBook.h
+++ b/include/bergamotpaddle/Credit/CreditBook.h
@@ -23,7 +23,7 @@
 /// as much of it as the more urgent requests of their account need.
 #pragma once
 
-#include "bergamotpaddle/Gateway/CreditRecord.h"
+#include "bergamotpaddle/Credit/CreditRecord.h"
 #include "bergamotpaddle/Support/Time.h"
 
 #include <algorithm>
--- a/include/bergamotpaddle/Gateway/CreditHomes.h
+++ b/include/bergamotpaddle/Credit/CreditHomes.h
@@ -5,7 +5,7 @@
 /// power, and its borrowers detect that at different times.
 #pragma once
 
-#include "bergamotpaddle/Gateway/CreditBook.h"
+#include "bergamotpaddle/Credit/CreditBook.h"
 #include "bergamotpaddle/Support/Time.h"
 #include "bergamotpaddle/Support/TypedId.h"
 
--- a/include/bergamotpaddle/Gateway/FeedMessages.h
+++ b/include/bergamotpaddle/Feed/FeedMessages.h
@@ -3,7 +3,7 @@
 /// another router, and the responses.
 #pragma once
 
-#include "bergamotpaddle/Gateway/FeedReplica.h"
+#include "bergamotpaddle/Feed/FeedReplica.h"
 
 #include <string_view>
 
--- a/include/bergamotpaddle/Gateway/FeedReplica.h
+++ b/include/bergamotpaddle/Feed/FeedReplica.h
@@ -7,7 +7,7 @@
 /// routers hold an earlier version, and compressed if that is still large.
 #pragma once
 
-#include "bergamotpaddle/Gateway/StoreItem.h"
+#include "bergamotpaddle/Feed/StoreItem.h"
 
 #include <absl/status/statusor.h>
 #include <cstddef>
--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -2,20 +2,20 @@
 /// State that all requests of one router share.
 #pragma once
 
+#include "bergamotpaddle/Credit/CreditBook.h"
+#include "bergamotpaddle/Feed/StoreAvailability.h"
 #include "bergamotpaddle/Forwarding/TaskSupervisor.h"
 #include "bergamotpaddle/Forwarding/WireDialect.h"
 #include "bergamotpaddle/Gateway/AdaptiveConnectTimeout.h"
 #include "bergamotpaddle/Gateway/BufferQuota.h"
-#include "bergamotpaddle/Gateway/ConnectionShedding.h"
-#include "bergamotpaddle/Gateway/CreditBook.h"
-#include "bergamotpaddle/Gateway/Failover.h"
-#include "bergamotpaddle/Gateway/Placement.h"
-#include "bergamotpaddle/Gateway/PromptQuarantine.h"
-#include "bergamotpaddle/Gateway/RetryBudget.h"
-#include "bergamotpaddle/Gateway/StopAdmission.h"
-#include "bergamotpaddle/Gateway/StoreAvailability.h"
 #include "bergamotpaddle/Logging/EventLog.h"
 #include "bergamotpaddle/Metrics/Traffic.h"
+#include "bergamotpaddle/Scheduling/ConnectionShedding.h"
+#include "bergamotpaddle/Scheduling/Failover.h"
+#include "bergamotpaddle/Scheduling/Placement.h"
+#include "bergamotpaddle/Scheduling/PromptQuarantine.h"
+#include "bergamotpaddle/Scheduling/RetryBudget.h"
+#include "bergamotpaddle/Scheduling/StopAdmission.h"
 #include "bergamotpaddle/Support/ResultCode.h"
 
 #include <array>
--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -5,7 +5,7 @@
 
 #include "bergamotpaddle/Forwarding/CallerConnection.h"
 #include "bergamotpaddle/Forwarding/UpstreamAttempt.h"
-#include "bergamotpaddle/Gateway/RequestProgress.h"
+#include "bergamotpaddle/Scheduling/RequestProgress.h"
 
 namespace bergamotpaddle {
 
--- a/include/bergamotpaddle/Forwarding/ReserveExchange.h
+++ b/include/bergamotpaddle/Forwarding/ReserveExchange.h
@@ -3,8 +3,8 @@
 /// prove that reserves of credit are closed (`ReservePledge.h`).
 #pragma once
 
+#include "bergamotpaddle/Credit/ReservePledge.h"
 #include "bergamotpaddle/Forwarding/GatewayState.h"
-#include "bergamotpaddle/Gateway/ReservePledge.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/include/bergamotpaddle/Forwarding/WireDialect.h
+++ b/include/bergamotpaddle/Forwarding/WireDialect.h
@@ -3,7 +3,7 @@
 /// read and write them. Only the hooks know the field names of a platform.
 #pragma once
 
-#include "bergamotpaddle/Gateway/UpstreamView.h"
+#include "bergamotpaddle/Scheduling/UpstreamView.h"
 
 #include <functional>
 #include <optional>
--- a/include/bergamotpaddle/Gateway/PeerDigest.h
+++ b/include/bergamotpaddle/Gateway/PeerDigest.h
@@ -6,9 +6,9 @@
 /// so the next datagram compensates for a lost one.
 #pragma once
 
-#include "bergamotpaddle/Gateway/FeedSource.h"
-#include "bergamotpaddle/Gateway/PromptQuarantine.h"
-#include "bergamotpaddle/Gateway/UpstreamView.h"
+#include "bergamotpaddle/Feed/FeedSource.h"
+#include "bergamotpaddle/Scheduling/PromptQuarantine.h"
+#include "bergamotpaddle/Scheduling/UpstreamView.h"
 
 #include <absl/status/statusor.h>
 #include <msgpack.hpp>
--- a/include/bergamotpaddle/Gateway/Failover.h
+++ b/include/bergamotpaddle/Scheduling/Failover.h
@@ -9,9 +9,9 @@
 /// another upstream answers it.
 #pragma once
 
-#include "bergamotpaddle/Gateway/Placement.h"
-#include "bergamotpaddle/Gateway/RequestProgress.h"
-#include "bergamotpaddle/Gateway/RetryBudget.h"
+#include "bergamotpaddle/Scheduling/Placement.h"
+#include "bergamotpaddle/Scheduling/RequestProgress.h"
+#include "bergamotpaddle/Scheduling/RetryBudget.h"
 
 namespace bergamotpaddle {
 
--- a/include/bergamotpaddle/Gateway/Placement.h
+++ b/include/bergamotpaddle/Scheduling/Placement.h
@@ -13,7 +13,7 @@
 /// - Overload: a request that the pool can't serve in time is rejected at once.
 #pragma once
 
-#include "bergamotpaddle/Gateway/UpstreamView.h"
+#include "bergamotpaddle/Scheduling/UpstreamView.h"
 
 #include <set>
 #include <string>
--- a/include/bergamotpaddle/Gateway/PromptQuarantine.h
+++ b/include/bergamotpaddle/Scheduling/PromptQuarantine.h
@@ -17,7 +17,7 @@
 /// trials by one router.
 #pragma once
 
-#include "bergamotpaddle/Gateway/UpstreamView.h"
+#include "bergamotpaddle/Scheduling/UpstreamView.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <cstdint>
--- a/include/bergamotpaddle/Gateway/RequestProgress.h
+++ b/include/bergamotpaddle/Scheduling/RequestProgress.h
@@ -3,7 +3,7 @@
 /// about its execution.
 #pragma once
 
-#include "bergamotpaddle/Gateway/RouteTable.h"
+#include "bergamotpaddle/Routing/RouteTable.h"
 
 #include <set>
 #include <string>
--- a/include/bergamotpaddle/Gateway/RetryBudget.h
+++ b/include/bergamotpaddle/Scheduling/RetryBudget.h
@@ -5,7 +5,7 @@
 /// the ratio to its own requests and has an equal share of the fixed allowance.
 #pragma once
 
-#include "bergamotpaddle/Gateway/RouteTable.h"
+#include "bergamotpaddle/Routing/RouteTable.h"
 
 #include <deque>
 #include <map>
--- a/include/bergamotpaddle/Gateway/StopAdmission.h
+++ b/include/bergamotpaddle/Scheduling/StopAdmission.h
@@ -10,7 +10,7 @@
 /// if recent requests of its route often took longer than the time left.
 #pragma once
 
-#include "bergamotpaddle/Gateway/RouteTable.h"
+#include "bergamotpaddle/Routing/RouteTable.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/bergamotpaddle/Gateway/UpstreamView.h
+++ b/include/bergamotpaddle/Scheduling/UpstreamView.h
@@ -4,7 +4,7 @@
 /// report.
 #pragma once
 
-#include "bergamotpaddle/Gateway/RouteTable.h"
+#include "bergamotpaddle/Routing/RouteTable.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <cstdint>
--- a/lib/Gateway/CreditBook.cpp
+++ b/lib/Credit/CreditBook.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/CreditBook.h"
+#include "bergamotpaddle/Credit/CreditBook.h"
 
 #include <algorithm>
 #include <cmath>
--- a/lib/Gateway/CreditDraws.cpp
+++ b/lib/Credit/CreditDraws.cpp
@@ -1,5 +1,5 @@
 // The part of CreditBook that computes headrooms and plans draws.
-#include "bergamotpaddle/Gateway/CreditBook.h"
+#include "bergamotpaddle/Credit/CreditBook.h"
 
 #include <algorithm>
 
--- a/lib/Gateway/CreditHomes.cpp
+++ b/lib/Credit/CreditHomes.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/CreditHomes.h"
+#include "bergamotpaddle/Credit/CreditHomes.h"
 
 #include "bergamotpaddle/Support/Hash.h"
 
--- a/lib/Gateway/CreditRecord.cpp
+++ b/lib/Credit/CreditRecord.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/CreditRecord.h"
+#include "bergamotpaddle/Credit/CreditRecord.h"
 
 #include <nlohmann/json.hpp>
 
--- a/lib/Gateway/ReservePledge.cpp
+++ b/lib/Credit/ReservePledge.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/ReservePledge.h"
+#include "bergamotpaddle/Credit/ReservePledge.h"
 
 #include "bergamotpaddle/Support/Hash.h"
 
--- a/lib/Gateway/DocumentDelta.cpp
+++ b/lib/Feed/DocumentDelta.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/DocumentDelta.h"
+#include "bergamotpaddle/Feed/DocumentDelta.h"
 
 #include "bergamotpaddle/Support/Hash.h"
 #include "bergamotpaddle/Support/MessagePack.h"
--- a/lib/Gateway/FeedMessages.cpp
+++ b/lib/Feed/FeedMessages.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/FeedMessages.h"
+#include "bergamotpaddle/Feed/FeedMessages.h"
 
 #include "bergamotpaddle/Support/MessagePack.h"
 #include "bergamotpaddle/Support/Text.h"
--- a/lib/Gateway/FeedReplica.cpp
+++ b/lib/Feed/FeedReplica.cpp
@@ -1,6 +1,6 @@
-#include "bergamotpaddle/Gateway/FeedReplica.h"
+#include "bergamotpaddle/Feed/FeedReplica.h"
 
-#include "bergamotpaddle/Gateway/DocumentDelta.h"
+#include "bergamotpaddle/Feed/DocumentDelta.h"
 #include "bergamotpaddle/Support/Compression.h"
 #include "bergamotpaddle/Support/Text.h"
 
--- a/lib/Gateway/FeedSource.cpp
+++ b/lib/Feed/FeedSource.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/FeedSource.h"
+#include "bergamotpaddle/Feed/FeedSource.h"
 
 #include "bergamotpaddle/Support/Hash.h"
 
--- a/lib/Gateway/StoreAvailability.cpp
+++ b/lib/Feed/StoreAvailability.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/StoreAvailability.h"
+#include "bergamotpaddle/Feed/StoreAvailability.h"
 
 #include <algorithm>
 
--- a/lib/Gateway/StoreRelayPool.cpp
+++ b/lib/Feed/StoreRelayPool.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/StoreRelayPool.h"
+#include "bergamotpaddle/Feed/StoreRelayPool.h"
 
 #include <algorithm>
 
--- a/lib/Gateway/WatchBackoff.cpp
+++ b/lib/Feed/WatchBackoff.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/WatchBackoff.h"
+#include "bergamotpaddle/Feed/WatchBackoff.h"
 
 #include <algorithm>
 
--- a/lib/Gateway/WatchRateLimiter.cpp
+++ b/lib/Feed/WatchRateLimiter.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/WatchRateLimiter.h"
+#include "bergamotpaddle/Feed/WatchRateLimiter.h"
 
 #include <algorithm>
 
--- a/lib/Gateway/RouteTable.cpp
+++ b/lib/Routing/RouteTable.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/RouteTable.h"
+#include "bergamotpaddle/Routing/RouteTable.h"
 
 #include <algorithm>
 #include <optional>
--- a/lib/Gateway/ConnectionShedding.cpp
+++ b/lib/Scheduling/ConnectionShedding.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/ConnectionShedding.h"
+#include "bergamotpaddle/Scheduling/ConnectionShedding.h"
 
 #include <algorithm>
 
--- a/lib/Gateway/Failover.cpp
+++ b/lib/Scheduling/Failover.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/Failover.h"
+#include "bergamotpaddle/Scheduling/Failover.h"
 
 namespace bergamotpaddle {
 
--- a/lib/Gateway/Placement.cpp
+++ b/lib/Scheduling/Placement.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/Placement.h"
+#include "bergamotpaddle/Scheduling/Placement.h"
 
 #include <algorithm>
 #include <cmath>
--- a/lib/Gateway/PromptQuarantine.cpp
+++ b/lib/Scheduling/PromptQuarantine.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/PromptQuarantine.h"
+#include "bergamotpaddle/Scheduling/PromptQuarantine.h"
 
 #include "bergamotpaddle/Support/Hash.h"
 #include "bergamotpaddle/Support/Text.h"
--- a/lib/Gateway/RequestProgress.cpp
+++ b/lib/Scheduling/RequestProgress.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/RequestProgress.h"
+#include "bergamotpaddle/Scheduling/RequestProgress.h"
 
 namespace bergamotpaddle {
 
--- a/lib/Gateway/RetryBudget.cpp
+++ b/lib/Scheduling/RetryBudget.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/RetryBudget.h"
+#include "bergamotpaddle/Scheduling/RetryBudget.h"
 
 #include <algorithm>
 
--- a/lib/Gateway/StopAdmission.cpp
+++ b/lib/Scheduling/StopAdmission.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/StopAdmission.h"
+#include "bergamotpaddle/Scheduling/StopAdmission.h"
 
 #include <algorithm>
 
--- a/lib/Gateway/UpstreamView.cpp
+++ b/lib/Scheduling/UpstreamView.cpp
@@ -1,4 +1,4 @@
-#include "bergamotpaddle/Gateway/UpstreamView.h"
+#include "bergamotpaddle/Scheduling/UpstreamView.h"
 
 #include "bergamotpaddle/Support/Hash.h"
 
--- a/unittests/Gateway/CreditBookTest.cpp
+++ b/unittests/Credit/CreditBookTest.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Credit of routers that draw for themselves from one shared record.
-#include "bergamotpaddle/Gateway/CreditBook.h"
+#include "bergamotpaddle/Credit/CreditBook.h"
 
 #include <catch2/catch.hpp>
 
--- a/unittests/Gateway/CreditFleet.h
+++ b/unittests/Credit/CreditFleet.h
@@ -5,8 +5,8 @@
 /// would have covered.
 #pragma once
 
-#include "bergamotpaddle/Gateway/CreditBook.h"
-#include "bergamotpaddle/Gateway/ReservePledge.h"
+#include "bergamotpaddle/Credit/CreditBook.h"
+#include "bergamotpaddle/Credit/ReservePledge.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/unittests/Gateway/CreditFuzzTest.cpp
+++ b/unittests/Credit/CreditFuzzTest.cpp
@@ -2,8 +2,8 @@
 /// Routers that draw, spend, fail, restart and stop in random order, with a
 /// store that loses responses and applies writes late. The record is checked
 /// against an independent count of spending.
-#include "bergamotpaddle/Gateway/CreditBook.h"
-#include "bergamotpaddle/Gateway/ReservePledge.h"
+#include "bergamotpaddle/Credit/CreditBook.h"
+#include "bergamotpaddle/Credit/ReservePledge.h"
 
 #include <array>
 #include <catch2/catch.hpp>
--- a/unittests/Gateway/CreditHomeTest.cpp
+++ b/unittests/Credit/CreditHomeTest.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Accounts of which one router, the home, draws credit for all routers, in
 /// virtual time.
-#include "bergamotpaddle/Gateway/CreditBook.h"
+#include "bergamotpaddle/Credit/CreditBook.h"
 
 #include <catch2/catch.hpp>
 #include <memory>
--- a/unittests/Gateway/CreditHomesTest.cpp
+++ b/unittests/Credit/CreditHomesTest.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// The choice of accounts' homes as routers start, fail and recover.
-#include "bergamotpaddle/Gateway/CreditHomes.h"
+#include "bergamotpaddle/Credit/CreditHomes.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
--- a/unittests/Gateway/CreditPriorityTest.cpp
+++ b/unittests/Credit/CreditPriorityTest.cpp
@@ -2,7 +2,7 @@
 /// Tests of how credit is shared between more and less urgent requests while it
 /// is short. They replay an account near the end of its budget, and an outage
 /// of the platform, with large requests beside small and more urgent ones.
-#include "bergamotpaddle/Gateway/CreditBook.h"
+#include "bergamotpaddle/Credit/CreditBook.h"
 
 #include <catch2/catch.hpp>
 #include <memory>
--- a/unittests/Gateway/CreditShortageTest.cpp
+++ b/unittests/Credit/CreditShortageTest.cpp
@@ -2,7 +2,7 @@
 /// Tests of the cause that is recorded for a request without credit. They
 /// replay an account that has used up its budget, most of which was written off
 /// with an earlier process.
-#include "bergamotpaddle/Gateway/CreditBook.h"
+#include "bergamotpaddle/Credit/CreditBook.h"
 
 #include <catch2/catch.hpp>
 
--- a/unittests/Gateway/ReservePledgeTest.cpp
+++ b/unittests/Credit/ReservePledgeTest.cpp
@@ -1,8 +1,8 @@
 /// \file
 /// Pledges not to open reserves: their validity, witnesses and withdrawal, and
 /// the reserves that they prove to be closed.
-#include "bergamotpaddle/Gateway/ReservePledge.h"
-#include "bergamotpaddle/Gateway/CreditBook.h"
+#include "bergamotpaddle/Credit/ReservePledge.h"
+#include "bergamotpaddle/Credit/CreditBook.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
--- a/unittests/Gateway/DocumentDeltaTest.cpp
+++ b/unittests/Feed/DocumentDeltaTest.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Deltas between versions of a document: their size, and round trips with
 /// generated documents.
-#include "bergamotpaddle/Gateway/DocumentDelta.h"
+#include "bergamotpaddle/Feed/DocumentDelta.h"
 #include "bergamotpaddle/Support/Text.h"
 
 #include <catch2/catch.hpp>
--- a/unittests/Gateway/FeedReplicaTest.cpp
+++ b/unittests/Feed/FeedReplicaTest.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Replicas of the store's items that follow one another: examples, and random
 /// operations that are checked against a reference model.
-#include "bergamotpaddle/Gateway/FeedMessages.h"
+#include "bergamotpaddle/Feed/FeedMessages.h"
 #include "bergamotpaddle/Support/Text.h"
 
 #include <catch2/catch.hpp>
--- a/unittests/Gateway/FeedSourceTest.cpp
+++ b/unittests/Feed/FeedSourceTest.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Selection of the store's readers and their followers, in virtual time.
-#include "bergamotpaddle/Gateway/FeedSource.h"
+#include "bergamotpaddle/Feed/FeedSource.h"
 #include "bergamotpaddle/Support/Text.h"
 
 #include <catch2/catch.hpp>
--- a/unittests/Gateway/StoreAvailabilityTest.cpp
+++ b/unittests/Feed/StoreAvailabilityTest.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Detection of outages of the store, in virtual time.
-#include "bergamotpaddle/Gateway/StoreAvailability.h"
+#include "bergamotpaddle/Feed/StoreAvailability.h"
 
 #include <catch2/catch.hpp>
 
--- a/unittests/Gateway/StoreRelayPoolTest.cpp
+++ b/unittests/Feed/StoreRelayPoolTest.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Tests of the choice of store relays. They replay a fleet of which most
 /// routers lose the store at once.
-#include "bergamotpaddle/Gateway/StoreRelayPool.h"
+#include "bergamotpaddle/Feed/StoreRelayPool.h"
 #include "bergamotpaddle/Support/Text.h"
 
 #include <catch2/catch.hpp>
--- a/unittests/Gateway/WatchBackoffTest.cpp
+++ b/unittests/Feed/WatchBackoffTest.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Calls to the store in an outage, in virtual time.
-#include "bergamotpaddle/Gateway/WatchBackoff.h"
+#include "bergamotpaddle/Feed/WatchBackoff.h"
 
 #include <catch2/catch.hpp>
 
--- a/unittests/Gateway/WatchRateLimiterTest.cpp
+++ b/unittests/Feed/WatchRateLimiterTest.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Rate limiting of watches, in virtual time.
-#include "bergamotpaddle/Gateway/WatchRateLimiter.h"
+#include "bergamotpaddle/Feed/WatchRateLimiter.h"
 
 #include <catch2/catch.hpp>
 
--- a/unittests/Gateway/MalformedMessageTest.cpp
+++ b/unittests/Gateway/MalformedMessageTest.cpp
@@ -1,8 +1,8 @@
 /// \file
 /// Tests of messages of other routers whose sizes are wrong: they are rejected
 /// and reserve no memory for what did not arrive.
-#include "bergamotpaddle/Gateway/DocumentDelta.h"
-#include "bergamotpaddle/Gateway/FeedMessages.h"
+#include "bergamotpaddle/Feed/DocumentDelta.h"
+#include "bergamotpaddle/Feed/FeedMessages.h"
 #include "bergamotpaddle/Gateway/PeerDigest.h"
 #include "bergamotpaddle/Support/Compression.h"
 #include "bergamotpaddle/Support/MessagePack.h"
--- a/unittests/Gateway/UpstreamViewTest.cpp
+++ b/unittests/Gateway/UpstreamViewTest.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// A router's estimate of the state of upstreams.
-#include "bergamotpaddle/Gateway/UpstreamView.h"
+#include "bergamotpaddle/Scheduling/UpstreamView.h"
 #include "bergamotpaddle/Gateway/PeerDigest.h"
 
 #include <catch2/catch.hpp>
--- a/unittests/Gateway/RouteTableTest.cpp
+++ b/unittests/Routing/RouteTableTest.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Lookups of routes and accounts in a configuration.
-#include "bergamotpaddle/Gateway/RouteTable.h"
+#include "bergamotpaddle/Routing/RouteTable.h"
 
 #include <catch2/catch.hpp>
 
--- a/unittests/Gateway/ConnectionSheddingTest.cpp
+++ b/unittests/Scheduling/ConnectionSheddingTest.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Tests of handing connections over. They replay a zone in which one router
 /// with a small share of a core got most of the callers.
-#include "bergamotpaddle/Gateway/ConnectionShedding.h"
+#include "bergamotpaddle/Scheduling/ConnectionShedding.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
--- a/unittests/Gateway/FailoverTest.cpp
+++ b/unittests/Scheduling/FailoverTest.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// When a request moves from a silent upstream to another one.
-#include "bergamotpaddle/Gateway/Failover.h"
+#include "bergamotpaddle/Scheduling/Failover.h"
 
 #include <catch2/catch.hpp>
 
--- a/unittests/Gateway/PlacementTest.cpp
+++ b/unittests/Scheduling/PlacementTest.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Placement of requests under different load patterns.
-#include "bergamotpaddle/Gateway/Placement.h"
+#include "bergamotpaddle/Scheduling/Placement.h"
 
 #include <catch2/catch.hpp>
 #include <set>
--- a/unittests/Gateway/PromptQuarantineTest.cpp
+++ b/unittests/Scheduling/PromptQuarantineTest.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Prompt parts that crash upstreams, over a fleet of routers in virtual time.
-#include "bergamotpaddle/Gateway/PromptQuarantine.h"
+#include "bergamotpaddle/Scheduling/PromptQuarantine.h"
 
 #include <catch2/catch.hpp>
 #include <random>
--- a/unittests/Gateway/RequestProgressTest.cpp
+++ b/unittests/Scheduling/RequestProgressTest.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Whether a request may have run, and may be sent again, after its sends.
-#include "bergamotpaddle/Gateway/RequestProgress.h"
+#include "bergamotpaddle/Scheduling/RequestProgress.h"
 
 #include <catch2/catch.hpp>
 
--- a/unittests/Gateway/RetryBudgetTest.cpp
+++ b/unittests/Scheduling/RetryBudgetTest.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// The limit on retries over all routers.
-#include "bergamotpaddle/Gateway/RetryBudget.h"
+#include "bergamotpaddle/Scheduling/RetryBudget.h"
 
 #include <catch2/catch.hpp>
 #include <random>
--- a/unittests/Gateway/StopAdmissionTest.cpp
+++ b/unittests/Scheduling/StopAdmissionTest.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Which requests a router still passes on while it is being stopped.
-#include "bergamotpaddle/Gateway/StopAdmission.h"
+#include "bergamotpaddle/Scheduling/StopAdmission.h"
 
 #include <catch2/catch.hpp>
 
