Upstreams that leave, or name a time to stay away, get no further requests

Change: UpstreamNotices keeps what responses to this router's own attempts say, by incarnation, beyond the entry in the list; digests tell leaving upstreams to peers; counted and logged.

--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -58,6 +58,9 @@
   std::uint64_t m_quarantineRefusals = 0;
   /// Requests refused for lack of credit, by `CreditShortage`.
   std::array<std::uint64_t, kCreditShortageCount> m_creditRefusals{};
+  std::uint64_t m_upstreamsLeaving = 0; ///< Told by themselves or by a peer.
+  std::uint64_t m_upstreamClosures = 0; ///< 503 with a time to stay away.
+  std::uint64_t m_invalidNotices = 0;   ///< Of upstreams, about themselves.
   std::uint64_t m_invalidResponses = 0; ///< Of upstreams; not forwarded.
   std::uint64_t m_events = 0;           ///< Stream events sent to callers.
   LatencyHistogram m_firstEventTime;    ///< From a request to its first event.
@@ -94,6 +97,10 @@
   /// if one can take it.
   /// Below the two seconds after which callers disconnect.
   Duration m_streamIdleTimeout = std::chrono::milliseconds(1200);
+  /// Pause in a stream that has begun after which it leaves its upstream for
+  /// one that has said nothing yet: just below the two seconds after which
+  /// callers disconnect.
+  Duration m_maxStreamPause = std::chrono::milliseconds(1900);
   /// How long a silent upstream keeps a request for an inference engine that
   /// was sent to another one as well. The users' rules allow that both work on
   /// it for 400 ms; the rest is for a late tick and the way to the upstream.
--- a/include/bergamotpaddle/Forwarding/PeerLink.h
+++ b/include/bergamotpaddle/Forwarding/PeerLink.h
@@ -25,6 +25,9 @@
   /// A peer from which nothing was received for this long counts as
   /// unreachable.
   Duration m_peerTimeout = std::chrono::milliseconds(1600);
+  /// How long digests repeat that an upstream leaves: six heartbeats, so that
+  /// lost datagrams are made up for.
+  Duration m_leavingRepeatTime = std::chrono::seconds(3);
 };
 
 /// Exchanges datagrams with all peers over one UDP socket.
@@ -106,6 +109,8 @@
   Awaitable<void> Receive();
   Awaitable<void> Send();
   std::string NextDigest(Instant aNow);
+  /// Records the upstreams that the peer found leaving.
+  void ApplyLeaving(const PeerDigest& aDigest, const Udp::endpoint& aFrom);
   UpstreamDigest MakeUpstreamDigest(const UpstreamState& aState,
                                     const std::vector<std::uint64_t>& aNewParts,
                                     Instant aNow) const;
--- a/include/bergamotpaddle/Forwarding/UpstreamAttempt.h
+++ b/include/bergamotpaddle/Forwarding/UpstreamAttempt.h
@@ -115,6 +115,8 @@
   /// When the last bytes arrived, or the request was sent, or the attempt
   /// began.
   Instant HeardAt() const { return m_heardAt; }
+  /// Whether any bytes of the response arrived.
+  bool HasResponded() const { return m_hasResponded; }
   /// Whether a part of the response could be delivered.
   bool HasBegun() const { return m_hasBegun; }
   /// Records that the upstream is silent; returns whether that is new.
@@ -139,6 +141,8 @@
   /// Ends the exchange since its response uses too much memory.
   void OnEvicted();
   void NoteHeard();
+  /// Records what the response says of its upstream.
+  void NoteNotice();
   /// Records that the upstream answers the request.
   void NoteBegun();
   bool IsLightStream() const
@@ -167,6 +171,7 @@
   std::optional<Instant> m_sentAt;
   bool m_isEventStream = false;
   bool m_hasReadBody = false;
+  bool m_hasResponded = false;
   bool m_hasBegun = false;
   bool m_isSilent = false;
   bool m_isFinished = false;
--- a/include/bergamotpaddle/Forwarding/WireDialect.h
+++ b/include/bergamotpaddle/Forwarding/WireDialect.h
@@ -64,6 +64,7 @@
   bool m_isEncoded = false;
   bool m_isEventStream = false;
   std::optional<ReportedLoad> m_load;
+  UpstreamNotice m_notice;
   FieldList m_forwardedFields; ///< Sent to callers unchanged.
 };
 
--- a/include/bergamotpaddle/Gateway/PeerDigest.h
+++ b/include/bergamotpaddle/Gateway/PeerDigest.h
@@ -39,6 +39,15 @@
   auto operator<=>(const UpstreamDigest&) const = default;
 };
 
+/// An incarnation of an upstream that told the sender that it leaves.
+struct LeavingUpstream
+{
+  std::uint32_t m_upstream = 0; ///< `UpstreamView::ShortHash` of its id.
+  std::int64_t m_startedAtMs = 0;
+  MSGPACK_DEFINE(m_upstream, m_startedAtMs)
+  auto operator<=>(const LeavingUpstream&) const = default;
+};
+
 /// The contents of one datagram.
 struct PeerDigest
 {
@@ -63,6 +72,9 @@
   /// Time since the store last responded to a call that the sender made itself,
   /// not through another router; negative if it never did.
   std::int64_t m_storeContactAgeMs = -1;
+  /// Found leaving within the last few seconds; at most `kMaxLeaving`.
+  std::vector<LeavingUpstream> m_leaving;
+  static constexpr std::size_t kMaxLeaving = 32;
   MSGPACK_DEFINE(m_version,
                  m_senderIncarnation,
                  m_storeAgeMs,
@@ -72,7 +84,8 @@
                  m_feedChangedRevisions,
                  m_upstreams,
                  m_quarantine,
-                 m_storeContactAgeMs)
+                 m_storeContactAgeMs,
+                 m_leaving)
   auto operator<=>(const PeerDigest&) const = default;
 
   /// The sender's report on its replicas.
--- a/include/bergamotpaddle/Scheduling/UpstreamView.h
+++ b/include/bergamotpaddle/Scheduling/UpstreamView.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "bergamotpaddle/Routing/RouteTable.h"
+#include "bergamotpaddle/Scheduling/UpstreamNotices.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <cstdint>
@@ -121,6 +122,8 @@
 
   /// Returns the upstreams of \p aService that accept new work, ordered by id.
   std::vector<const UpstreamState*> Usable(const ServiceId& aService) const;
+  /// Whether \p aId is listed and may be sent a request now.
+  bool IsUsable(const UpstreamId& aId, Instant aNow) const;
   std::size_t Size() const { return m_upstreams.size(); }
   const std::map<UpstreamId, UpstreamState>& All() const { return m_upstreams; }
 
@@ -142,6 +145,17 @@
   /// Records the slowness that the upstream reported to a peer at \p aAt,
   /// unless a newer report is known.
   void NoteSlowness(const UpstreamId& aId, double aSlowness, Instant aAt);
+  /// Records what a response of this incarnation said of its upstream; returns
+  /// whether it is news that the upstream leaves.
+  bool NoteNotice(const UpstreamIncarnation& aUpstream,
+                  const UpstreamNotice& aNotice,
+                  Instant aNow);
+  /// Records that a peer found \p aUpstream leaving; returns whether that is
+  /// new.
+  bool NotePeerLeaving(const UpstreamIncarnation& aUpstream, Instant aNow);
+  /// Whether this incarnation is closed to this router now.
+  bool IsClosed(const UpstreamState& aState, Instant aNow) const;
+  const UpstreamNotices& Notices() const { return m_notices; }
   /// Records the outcome of an exchange; after failures the upstream is
   /// avoided.
   void NoteOutcome(const UpstreamId& aId,
@@ -181,6 +195,7 @@
 private:
   UpstreamViewOptions m_options;
   std::map<UpstreamId, UpstreamState> m_upstreams;
+  UpstreamNotices m_notices;
   absl::flat_hash_map<std::uint32_t, UpstreamId> m_idByShortHash;
 };
 
--- a/lib/Forwarding/GatewayMetrics.cpp
+++ b/lib/Forwarding/GatewayMetrics.cpp
@@ -75,6 +75,19 @@
     text.Sample(static_cast<double>(counters.m_creditRefusals.at(i)),
                 { { "cause", cause } });
   }
+  appendSingle("bergamotpaddle_upstreams_leaving_total",
+               "counter",
+               "Upstreams that said in a response, or were reported by a "
+               "router, to be leaving.",
+               counters.m_upstreamsLeaving);
+  appendSingle("bergamotpaddle_upstream_closures_total",
+               "counter",
+               "Refusals of upstreams that name a time to stay away.",
+               counters.m_upstreamClosures);
+  appendSingle("bergamotpaddle_upstream_notices_invalid_total",
+               "counter",
+               "Responses whose fields about the upstream can't be read.",
+               counters.m_invalidNotices);
   appendSingle("bergamotpaddle_answers_spoiled_total",
                "counter",
                "Upstreams' answers that were not passed on.",
--- a/lib/Forwarding/PeerLink.cpp
+++ b/lib/Forwarding/PeerLink.cpp
@@ -193,6 +193,14 @@
     digest.m_storeContactAgeMs = ToMilliseconds(*age);
   }
   digest.m_quarantine = m_state->m_quarantine.NextReport(aNow);
+  for (const UpstreamIncarnation& upstream :
+       m_state->m_upstreams.Notices().ToldLeavingSince(
+         aNow - m_options.m_leavingRepeatTime)) {
+    if (digest.m_leaving.size() < PeerDigest::kMaxLeaving) {
+      digest.m_leaving.push_back(
+        { UpstreamView::ShortHash(upstream.m_id), upstream.m_startedAtMs });
+    }
+  }
   std::size_t size = digest.Encode().size();
   for (const auto& [id, newParts] : m_schedule.Candidates(aNow)) {
     const UpstreamState* state = m_state->m_upstreams.Find(id);
@@ -238,6 +246,22 @@
   }
 }
 
+void
+PeerLink::ApplyLeaving(const PeerDigest& aDigest, const Udp::endpoint& aFrom)
+{
+  UpstreamView& upstreams = m_state->m_upstreams;
+  for (const LeavingUpstream& leaving : aDigest.m_leaving) {
+    const auto id = upstreams.FindByShortHash(leaving.m_upstream);
+    if (id && upstreams.NotePeerLeaving({ *id, leaving.m_startedAtMs },
+                                        m_state->Now())) {
+      ++m_state->m_counters.m_upstreamsLeaving;
+      m_state->Log(LogLine("upstream.leaving")
+                     .Text("upstream", id->Str())
+                     .Text("from", AddressOf(aFrom)));
+    }
+  }
+}
+
 PeerLink::Awaitable<void>
 PeerLink::Receive()
 {
@@ -272,6 +296,7 @@
     } else {
       peer->second = m_state->Now();
       ApplyDigest(*digest, m_state->m_upstreams, m_state->Now());
+      ApplyLeaving(*digest, from);
       m_state->m_quarantine.Apply(digest->m_quarantine, m_state->Now());
       m_state->LogQuarantineChanges();
       m_onFeedStatus(AddressOf(from), digest->ToFeedStatus());
--- a/lib/Forwarding/UpstreamAttempt.cpp
+++ b/lib/Forwarding/UpstreamAttempt.cpp
@@ -198,6 +198,9 @@
     m_state->m_upstreams.NoteReport(Upstream(), *m_response.m_load);
     m_state->m_onLoadChanged(Upstream(), {});
   }
+  if (!IsForOtherAttempt()) {
+    NoteNotice();
+  }
   if (m_response.m_isProvedNotRun && !IsSuccess(m_response.m_status) &&
       !IsForOtherAttempt()) {
     co_return AttemptStep::kNotRun;
@@ -310,6 +313,33 @@
   return IsForOtherAttempt() || isUnsigned || m_response.m_isEncoded;
 }
 
+void
+UpstreamAttempt::NoteNotice()
+{
+  const UpstreamNotice& notice = m_response.m_notice;
+  GatewayCounters& counters = m_state->m_counters;
+  if (notice.m_isInvalid && counters.m_invalidNotices++ == 0) {
+    m_state->Log(
+      LogLine("upstream.notice_invalid").Text("upstream", Upstream().Str()));
+  }
+  const bool isNews = m_state->m_upstreams.NoteNotice(
+    { Upstream(), m_request.m_startedAtMs }, notice, m_state->Now());
+  if (notice.m_closedFor) {
+    ++counters.m_upstreamClosures;
+    m_state->Log(LogLine("upstream.closed")
+                   .Text("request", m_request.m_attemptId)
+                   .Text("upstream", Upstream().Str())
+                   .Milliseconds("for_ms", *notice.m_closedFor));
+  }
+  if (isNews) {
+    ++counters.m_upstreamsLeaving;
+    m_state->Log(LogLine("upstream.leaving")
+                   .Text("request", m_request.m_attemptId)
+                   .Text("upstream", Upstream().Str()));
+    m_state->m_onLoadChanged(Upstream(), {});
+  }
+}
+
 void
 UpstreamAttempt::OnEvicted()
 {
@@ -321,6 +351,7 @@
 UpstreamAttempt::NoteHeard()
 {
   m_heardAt = m_state->Now();
+  m_hasResponded = true;
   m_isSilent = false;
   m_onHeard(*this);
 }
--- a/lib/Scheduling/Placement.cpp
+++ b/lib/Scheduling/Placement.cpp
@@ -211,8 +211,11 @@
                   Instant aNow)
 {
   PlacementResult result;
-  const std::vector<const UpstreamState*> usable =
-    aView.Usable(aRequest.m_service);
+  std::vector<const UpstreamState*> usable = aView.Usable(aRequest.m_service);
+  const std::size_t closed =
+    std::erase_if(usable, [&](const UpstreamState* aState) {
+      return aView.IsClosed(*aState, aNow);
+    });
   std::vector<Candidate> candidates;
   if (aRequest.m_parts.empty()) {
     for (const UpstreamState* state : usable) {
@@ -228,7 +231,7 @@
       ? std::min(aRequest.m_firstEventTimeout, aRequest.m_timeLeft)
       : aRequest.m_timeLeft;
   Duration minCost = Duration::max();
-  bool hasOverloaded = false;
+  bool hasOverloaded = closed > 0;
   for (const Candidate& candidate : candidates) {
     const UpstreamEntry& entry = candidate.m_state->m_entry;
     const PlacementChoice choice =
--- a/lib/Scheduling/UpstreamView.cpp
+++ b/lib/Scheduling/UpstreamView.cpp
@@ -11,6 +11,12 @@
 /// Number of prompt parts of one upstream above which stale ones are removed.
 constexpr std::size_t kMaxParts = 4096;
 
+UpstreamIncarnation
+IncarnationOf(const UpstreamEntry& aEntry)
+{
+  return { aEntry.m_id, aEntry.m_startedAtMs };
+}
+
 } // namespace
 
 UpstreamView::UpstreamView(UpstreamViewOptions aOptions)
@@ -81,13 +87,49 @@
 {
   std::vector<const UpstreamState*> usable;
   for (const auto& [id, state] : m_upstreams) {
-    if (state.m_entry.m_service == aService && !state.m_entry.m_isDraining) {
+    if (state.m_entry.m_service == aService && !state.m_entry.m_isDraining &&
+        !m_notices.IsLeaving(IncarnationOf(state.m_entry))) {
       usable.push_back(&state);
     }
   }
   return usable;
 }
 
+bool
+UpstreamView::IsUsable(const UpstreamId& aId, Instant aNow) const
+{
+  const UpstreamState* state = Find(aId);
+  return state != nullptr && !state->m_entry.m_isDraining &&
+         !m_notices.IsLeaving(IncarnationOf(state->m_entry)) &&
+         !IsClosed(*state, aNow);
+}
+
+bool
+UpstreamView::NoteNotice(const UpstreamIncarnation& aUpstream,
+                         const UpstreamNotice& aNotice,
+                         Instant aNow)
+{
+  if (aNotice.m_closedFor) {
+    m_notices.NoteClosed(aUpstream, aNow + *aNotice.m_closedFor, aNow);
+  }
+  return aNotice.m_isLeaving &&
+         m_notices.NoteLeaving(
+           aUpstream, UpstreamNotices::Source::kResponse, aNow);
+}
+
+bool
+UpstreamView::NotePeerLeaving(const UpstreamIncarnation& aUpstream,
+                              Instant aNow)
+{
+  return m_notices.NoteLeaving(aUpstream, UpstreamNotices::Source::kPeer, aNow);
+}
+
+bool
+UpstreamView::IsClosed(const UpstreamState& aState, Instant aNow) const
+{
+  return m_notices.ClosedUntil(IncarnationOf(aState.m_entry)) > aNow;
+}
+
 void
 UpstreamView::NoteSent(const UpstreamId& aId,
                        bool aIsStream,
