A silent second upstream does not replace one that has delivered events

Change: a first upstream that has delivered events keeps the request; after a pause of 1.9 s the request moves to the second one for good, which is no further upstream.

--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -133,6 +133,12 @@
   bool IsOverlapOver(Instant aNow) const;
   /// Ends the attempt at one of two upstreams.
   void EndOverlap();
+  /// Ends the attempt at an upstream that has paused for too long, and sends
+  /// the request once more to the one that it was taken back from, if that is
+  /// possible.
+  bool MoveToFallback(Instant aNow);
+  /// Lets \p aStandby work on the request beside m_attempt.
+  void RunStandby(const std::shared_ptr<UpstreamAttempt>& aStandby);
   /// Charges the tokens used and releases the rest of the allotted ones.
   void SettleCredit();
   void LogEnd() const;
@@ -170,6 +176,9 @@
   std::shared_ptr<UpstreamAttempt> m_attempt;
   /// At other upstreams, while that of m_attempt is silent; the oldest first.
   std::vector<std::shared_ptr<UpstreamAttempt>> m_standbys;
+  /// An upstream that had said nothing when the request was taken back from it,
+  /// as the first one had delivered events.
+  std::optional<PlacementChoice> m_fallback;
   /// The latest attempt that ended with a complete error response.
   std::shared_ptr<UpstreamAttempt> m_failedAttempt;
   // For the log.
--- a/include/bergamotpaddle/Scheduling/RequestProgress.h
+++ b/include/bergamotpaddle/Scheduling/RequestProgress.h
@@ -34,6 +34,9 @@
   /// Whether the request may be sent to another upstream beside the only send
   /// in flight, which may have reached its upstream.
   bool MaySendBeside() const;
+  /// Whether the request may be sent to \p aUpstream, which had it before and
+  /// doesn't count as a further upstream, in place of the send in flight.
+  bool MayReturnTo(const UpstreamId& aUpstream) const;
   /// Whether it is certain that the request hasn't run and won't run.
   bool IsProvedNotRun() const
   {
--- a/lib/Forwarding/RequestTimeouts.cpp
+++ b/lib/Forwarding/RequestTimeouts.cpp
@@ -58,6 +58,9 @@
   if (m_state->m_quarantine.RefusedFor(m_request.m_parts, aNow)) {
     return; // No upstream may get the request any more.
   }
+  if (MoveToFallback(aNow)) {
+    return;
+  }
   Failover failover(
     m_state->m_upstreams, m_state->m_placement, m_state->m_retries);
   const FailoverResult result =
@@ -76,14 +79,7 @@
     return;
   }
   ArmIdleTimeout(aNow);
-  const std::shared_ptr<UpstreamAttempt> standby =
-    MakeAttempt(result.m_choice, aNow);
-  m_standbys.push_back(standby);
-  LogFailover(*standby, "started");
-  standby->AdvanceInBackground(
-    [this, attempt = standby.get()](AttemptStep aStep) {
-      NoteStandbyStep(*attempt, aStep);
-    });
+  RunStandby(MakeAttempt(result.m_choice, aNow));
 }
 
 bool
@@ -105,8 +101,14 @@
 void
 RequestRun::EndOverlap()
 {
-  // The upstream that was heard last is the one more likely to go on.
-  if (m_attempt->HeardAt() > m_standbys.front()->HeardAt()) {
+  const UpstreamAttempt& standby = *m_standbys.front();
+  // Delivered events show that the first upstream works on the request. Of two
+  // that responded, the one heard last is more likely to go on.
+  const bool isPausing = m_attempt->HasBegun() && !standby.HasResponded();
+  if (isPausing || m_attempt->HeardAt() > standby.HeardAt()) {
+    if (isPausing) {
+      m_fallback = standby.Choice();
+    }
     DropStandbys();
     ArmIdleTimeout(m_attempt->HeardAt());
     return;
@@ -115,6 +117,34 @@
   m_attempt->Abort(AbortReason::kIdleTimeout);
 }
 
+bool
+RequestRun::MoveToFallback(Instant aNow)
+{
+  if (!m_fallback ||
+      aNow - m_attempt->HeardAt() < m_state->m_options.m_maxStreamPause ||
+      !m_progress->MayReturnTo(m_fallback->m_upstream) ||
+      !m_state->m_upstreams.IsUsable(m_fallback->m_upstream, aNow) ||
+      !m_state->m_retries.Consume(m_service, aNow)) {
+    return false;
+  }
+  const std::shared_ptr<UpstreamAttempt> attempt =
+    MakeAttempt(*std::exchange(m_fallback, std::nullopt), aNow);
+  RunStandby(attempt);
+  m_attempt->Abort(AbortReason::kIdleTimeout);
+  return true;
+}
+
+void
+RequestRun::RunStandby(const std::shared_ptr<UpstreamAttempt>& aStandby)
+{
+  m_standbys.push_back(aStandby);
+  LogFailover(*aStandby, "started");
+  aStandby->AdvanceInBackground(
+    [this, attempt = aStandby.get()](AttemptStep aStep) {
+      NoteStandbyStep(*attempt, aStep);
+    });
+}
+
 void
 RequestRun::LimitDeadline(Instant aLatest)
 {
--- a/lib/Scheduling/RequestProgress.cpp
+++ b/lib/Scheduling/RequestProgress.cpp
@@ -47,4 +47,10 @@
          m_mayHaveRunCount + m_inFlight < m_maxAttempts;
 }
 
+bool
+RequestProgress::MayReturnTo(const UpstreamId& aUpstream) const
+{
+  return m_mayRepeat && m_sends < kMaxSends && m_tried.contains(aUpstream);
+}
+
 } // namespace bergamotpaddle
