--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -137,6 +137,8 @@
   /// the request once more to the one that it was taken back from, if that is
   /// possible.
   bool MoveToFallback(Instant aNow);
+  /// Whether the request may be sent to m_fallback once more.
+  bool HasFallback() const;
   /// Lets \p aStandby work on the request beside m_attempt.
   void RunStandby(const std::shared_ptr<UpstreamAttempt>& aStandby);
   /// Charges the tokens used and releases the rest of the allotted ones.
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -92,7 +92,9 @@
     if (IsPromptQuarantined() || IsTooLateForStop()) {
       break;
     }
-    const std::optional<PlacementChoice> choice = ChooseUpstream();
+    const std::optional<PlacementChoice> choice =
+      HasFallback() ? std::exchange(m_fallback, std::nullopt)
+                    : ChooseUpstream();
     if (!choice) {
       break;
     }
@@ -479,7 +481,8 @@
 bool
 RequestRun::ShouldRetry()
 {
-  if (m_isCallerDisconnected || !m_progress->MaySendAgain()) {
+  const bool maySend = m_progress->MaySendAgain() || HasFallback();
+  if (m_isCallerDisconnected || !maySend) {
     return false;
   }
   const Instant now = m_state->Now();
--- a/lib/Forwarding/RequestTimeouts.cpp
+++ b/lib/Forwarding/RequestTimeouts.cpp
@@ -117,13 +117,18 @@
   m_attempt->Abort(AbortReason::kIdleTimeout);
 }
 
+bool
+RequestRun::HasFallback() const
+{
+  return m_fallback && m_progress->MayReturnTo(m_fallback->m_upstream) &&
+         m_state->m_upstreams.IsUsable(m_fallback->m_upstream, m_state->Now());
+}
+
 bool
 RequestRun::MoveToFallback(Instant aNow)
 {
-  if (!m_fallback ||
-      aNow - m_attempt->HeardAt() < m_state->m_options.m_maxStreamPause ||
-      !m_progress->MayReturnTo(m_fallback->m_upstream) ||
-      !m_state->m_upstreams.IsUsable(m_fallback->m_upstream, aNow) ||
+  const Duration pause = aNow - m_attempt->HeardAt();
+  if (pause < m_state->m_options.m_maxStreamPause || !HasFallback() ||
       !m_state->m_retries.Consume(m_service, aNow)) {
     return false;
   }
--- a/unittests/Platform/SoundUpstreamAbandonedTest.cpp
+++ b/unittests/Platform/SoundUpstreamAbandonedTest.cpp
@@ -309,6 +309,18 @@
     CHECK(IsWholeStream(fixture.Call("/resume/x")));
   }
 
+  // The other upstream was given up when both had been at work for 320 ms.
+  SECTION("is answered by the other one if its own crashes after that time")
+  {
+    ScriptedUpstream::Script first = PausingStream(milliseconds(1650));
+    first.m_continuation = "0";
+    first.m_isReset = true;
+    fixture.Script(first, Resumption(milliseconds(500)));
+    fixture.RepeatScriptOfOther();
+    CHECK(IsWholeStream(fixture.Call("/resume/x")));
+    CHECK(fixture.SendCount() == 3);
+  }
+
   SECTION("is answered with the other one's error if its own breaks off")
   {
     ScriptedUpstream::Script first{ "", false, true, milliseconds(700), "H" };
