Evacuated zones get nothing; cold upstreams get a rate that their owners share

ZoneEvacuation holds the zones that the feed names; Usable() leaves their upstreams out, so placement, retries, standbys and resumed streams do too, and a request that was placed before is checked once more when it leaves. ColdRate gives each cold upstream at most coldPerS owners by rendezvous hashing over all registered routers, one request in 1.2 s each; an upstream found cold gets nothing for the first 1.2 s, a zone that is taken back is taken for cold as long as its services say. In force only where bounds and services hold a limit.

--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -56,6 +56,13 @@
   std::uint64_t m_failoversFailed = 0;   ///< The second upstream failed.
   /// Requests that were not sent since a part of their prompt is quarantined.
   std::uint64_t m_quarantineRefusals = 0;
+  /// Requests refused since all upstreams that could take them were cold.
+  std::uint64_t m_coldRefusals = 0;
+  /// Requests whose upstream was evacuated or cold when they should have left.
+  std::uint64_t m_sendsWithheld = 0;
+  std::uint64_t m_evacuations = 0;  ///< Of zones.
+  std::uint64_t m_unknownZones = 0; ///< Evacuations of zones without upstreams.
+  std::uint64_t m_coldUpstreams = 0; ///< Times that an upstream was found cold.
   /// Requests refused for lack of credit, by `CreditShortage`.
   std::array<std::uint64_t, kCreditShortageCount> m_creditRefusals{};
   std::uint64_t m_invalidResponses = 0; ///< Of upstreams; not forwarded.
@@ -167,12 +174,21 @@
   void Log(const LogLine& aLine, bool aIsVital = false);
   /// Logs what changed in m_quarantine since the last call.
   void LogQuarantineChanges();
+  /// Why the upstream must get no request now that has not left yet; counts the
+  /// request if there is no reason.
+  std::string_view WithholdsFrom(const UpstreamId& aId,
+                                 const ServiceId& aService,
+                                 Instant aNow);
+  /// Records that the upstream will be cold for \p aLeft. \p aIsNew: it had no
+  /// requests before.
+  void NoteCold(const UpstreamEntry& aEntry, Duration aLeft, bool aIsNew);
 
   WireDialect m_dialect;
   ForwardingOptions m_options;
   std::shared_ptr<const RouteTable> m_routes; ///< Null until one is known.
   UpstreamView m_upstreams;
   Placement m_placement;
+  ColdRate m_coldRate;
   PromptQuarantine m_quarantine;
   CreditBook m_credit;
   RetryBudget m_retries;
--- a/include/bergamotpaddle/Forwarding/UpstreamAttempt.h
+++ b/include/bergamotpaddle/Forwarding/UpstreamAttempt.h
@@ -34,6 +34,7 @@
 struct AttemptRequest
 {
   PlacementChoice m_choice;
+  ServiceId m_service;            ///< Of the upstream.
   std::string m_address;          ///< Of the upstream, as IP:PORT.
   std::int64_t m_startedAtMs = 0; ///< Start of the upstream.
   std::string m_attemptId;        ///< That responses have to echo.
@@ -121,6 +122,8 @@
   bool NoteSilence() { return !std::exchange(m_isSilent, true); }
   /// Whether the upstream is silent since `NoteSilence`.
   bool IsSilent() const { return m_isSilent; }
+  /// Whether the request did not leave since its upstream takes none now.
+  bool IsWithheld() const { return m_isWithheld; }
   /// Why the attempt failed, if more is known than the connection's error.
   const std::string& ErrorMessage() const { return m_errorMessage; }
 
@@ -169,6 +172,8 @@
   bool m_hasReadBody = false;
   bool m_hasBegun = false;
   bool m_isSilent = false;
+  bool m_isReserved = true; ///< Counts at m_coldRate, and has not left.
+  bool m_isWithheld = false;
   bool m_isFinished = false;
   std::string m_errorMessage;
   std::optional<AttemptStep> m_backgroundStep;
--- a/include/bergamotpaddle/Forwarding/WireDialect.h
+++ b/include/bergamotpaddle/Forwarding/WireDialect.h
@@ -64,6 +64,8 @@
   bool m_isEncoded = false;
   bool m_isEventStream = false;
   std::optional<ReportedLoad> m_load;
+  /// How long the upstream stays cold; absent if it does not say.
+  std::optional<Duration> m_coldLeft;
   FieldList m_forwardedFields; ///< Sent to callers unchanged.
 };
 
--- a/include/bergamotpaddle/Routing/RouteTable.h
+++ b/include/bergamotpaddle/Routing/RouteTable.h
@@ -71,6 +71,9 @@
   int m_engineSlots = 0;    ///< Requests batched by one engine.
   std::uint64_t m_engineMemoryTokens = 0; ///< Per engine.
   std::uint32_t m_tokensPerEvent = 1;     ///< Maximum tokens in one event.
+  double m_coldPerSecond = 0; ///< Requests a second that a cold upstream
+                              ///< bears, from all routers; 0: no limit.
+  Duration m_coldTime{ 0 };   ///< An upstream is cold for so long.
   auto operator<=>(const Service&) const = default;
 };
 
@@ -115,6 +118,7 @@
   std::uint64_t Version() const { return m_config.m_version; }
   const CallerLimits& Limits() const { return m_config.m_limits; }
   const std::vector<Account>& Accounts() const { return m_config.m_accounts; }
+  const std::vector<Service>& Services() const { return m_config.m_services; }
 
   /// The lowest, that is most urgent, priority among the routes of streams; 0
   /// if there are none.
--- a/include/bergamotpaddle/Scheduling/Placement.h
+++ b/include/bergamotpaddle/Scheduling/Placement.h
@@ -13,6 +13,7 @@
 /// - Overload: a request that the pool can't serve in time is rejected at once.
 #pragma once
 
+#include "bergamotpaddle/Scheduling/ColdRate.h"
 #include "bergamotpaddle/Scheduling/UpstreamView.h"
 
 #include <set>
@@ -31,6 +32,7 @@
   /// request; 0: no limit.
   Duration m_firstEventTimeout{ 0 };
   std::set<UpstreamId> m_excluded; ///< Not to be chosen.
+  ColdUpstreams m_cold;            ///< Those of the service.
 };
 
 /// The chosen upstream and the figures behind the choice, for the log.
@@ -52,6 +54,7 @@
     kPlaced,
     kNoUpstream, ///< No upstream that accepts work is known.
     kOverloaded, ///< Every upstream would respond too late.
+    kCold,       ///< Those that would not are cold, and have their rate.
   };
   Verdict m_verdict = Verdict::kNoUpstream;
   PlacementChoice m_choice;
@@ -91,6 +94,9 @@
   int m_prefillWeight = 3;
   /// Cost of an upstream that is being avoided after failures, as time.
   Duration m_avoidedPenalty = std::chrono::seconds(5);
+  /// Cost of a cold upstream, which is slow, as time: as much as callers
+  /// notice, below the smallest objective of streams.
+  Duration m_coldPenalty = std::chrono::milliseconds(100);
   /// Cost of an upstream in another availability zone, as time.
   Duration m_crossZonePenalty = std::chrono::milliseconds(2);
   /// Maximum number of requests queued at an upstream beyond its slots, as a
@@ -131,6 +137,7 @@
   {
     const UpstreamState* m_state = nullptr;
     bool m_isCrossPartition = false; ///< Outside the request's partition.
+    bool m_isCold = false;
   };
 
   std::vector<Candidate> EngineCandidates(
--- a/include/bergamotpaddle/Scheduling/UpstreamView.h
+++ b/include/bergamotpaddle/Scheduling/UpstreamView.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "bergamotpaddle/Routing/RouteTable.h"
+#include "bergamotpaddle/Scheduling/ZoneEvacuation.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <cstdint>
@@ -119,6 +120,10 @@
   UpstreamState* Find(const UpstreamId& aId);
   const UpstreamState* Find(const UpstreamId& aId) const;
 
+  /// The zones whose upstreams accept no new work.
+  ZoneEvacuation& Evacuation() { return m_evacuation; }
+  const ZoneEvacuation& Evacuation() const { return m_evacuation; }
+
   /// Returns the upstreams of \p aService that accept new work, ordered by id.
   std::vector<const UpstreamState*> Usable(const ServiceId& aService) const;
   std::size_t Size() const { return m_upstreams.size(); }
@@ -182,6 +187,7 @@
   UpstreamViewOptions m_options;
   std::map<UpstreamId, UpstreamState> m_upstreams;
   absl::flat_hash_map<std::uint32_t, UpstreamId> m_idByShortHash;
+  ZoneEvacuation m_evacuation;
 };
 
 } // namespace bergamotpaddle
--- a/lib/Forwarding/GatewayMetrics.cpp
+++ b/lib/Forwarding/GatewayMetrics.cpp
@@ -87,6 +87,30 @@
                "gauge",
                "Prompt parts on which upstreams crash.",
                m_state->m_quarantine.Quarantined(m_state->Now()).size());
+  appendSingle("bergamotpaddle_cold_refusals_total",
+               "counter",
+               "Requests refused since the upstreams that were left are cold.",
+               counters.m_coldRefusals);
+  appendSingle("bergamotpaddle_cold_upstreams_total",
+               "counter",
+               "Times that an upstream was found to be cold.",
+               counters.m_coldUpstreams);
+  appendSingle("bergamotpaddle_sends_withheld_total",
+               "counter",
+               "Requests whose upstream was evacuated or cold at their send.",
+               counters.m_sendsWithheld);
+  appendSingle("bergamotpaddle_zone_evacuations_total",
+               "counter",
+               "Evacuations of zones.",
+               counters.m_evacuations);
+  appendSingle("bergamotpaddle_zones_unknown_total",
+               "counter",
+               "Evacuations of zones that no upstream is in.",
+               counters.m_unknownZones);
+  appendSingle("bergamotpaddle_zones_evacuated",
+               "gauge",
+               "Zones that get no new requests.",
+               m_state->m_upstreams.Evacuation().Size());
   appendSingle("bergamotpaddle_connection_handovers_total",
                "counter",
                "Times that connections were handed over to other routers.",
--- a/lib/Forwarding/GatewayState.cpp
+++ b/lib/Forwarding/GatewayState.cpp
@@ -92,6 +92,40 @@
   m_log->Write(aLine, Now(), UnixMs(), aIsVital);
 }
 
+std::string_view
+GatewayState::WithholdsFrom(const UpstreamId& aId,
+                            const ServiceId& aService,
+                            Instant aNow)
+{
+  const UpstreamState* state = m_upstreams.Find(aId);
+  if (state != nullptr &&
+      m_upstreams.Evacuation().IsEvacuated(state->m_entry.m_zone)) {
+    m_coldRate.Release(aId);
+    ++m_counters.m_sendsWithheld;
+    return "the zone of the upstream is evacuated";
+  }
+  if (!m_coldRate.Send(aId, aService, aNow)) {
+    ++m_counters.m_sendsWithheld;
+    return "the upstream is cold";
+  }
+  return {};
+}
+
+void
+GatewayState::NoteCold(const UpstreamEntry& aEntry, Duration aLeft, bool aIsNew)
+{
+  const bool isChange =
+    m_coldRate.NoteCold(aEntry.m_id, aEntry.m_service, aLeft, aIsNew, Now());
+  if (!isChange) {
+    return;
+  }
+  ++m_counters.m_coldUpstreams;
+  Log(LogLine("upstream.cold")
+        .Text("upstream", aEntry.m_id.Str())
+        .Milliseconds("left_ms", aLeft)
+        .Number("share", m_coldRate.Share(aEntry.m_id, aEntry.m_service)));
+}
+
 void
 GatewayState::LogQuarantineChanges()
 {
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -110,6 +110,7 @@
   request.m_parts = m_request.m_parts;
   request.m_timeLeft = m_deadline - aNow;
   request.m_excluded = m_progress->Tried();
+  request.m_cold = m_state->m_coldRate.Find(m_service, aNow);
   if (m_route->m_kind == CallKind::kStream) {
     request.m_firstEventTimeout = std::max(
       m_state->m_options.m_minCallerStreamTimeout, m_route->m_objective * 4);
@@ -126,6 +127,12 @@
   if (result.m_verdict == PlacementResult::Verdict::kPlaced) {
     return std::move(result.m_choice);
   }
+  if (result.m_verdict == PlacementResult::Verdict::kCold) {
+    ++m_state->m_counters.m_coldRefusals;
+    m_code = ResultCode::kOverloaded;
+    m_errorMessage = "the upstreams that are left are cold";
+    return std::nullopt;
+  }
   const bool isOverloaded =
     result.m_verdict == PlacementResult::Verdict::kOverloaded;
   m_code = isOverloaded ? ResultCode::kOverloaded : ResultCode::kNoUpstream;
@@ -141,6 +148,7 @@
   const UpstreamState* state = m_state->m_upstreams.Find(aChoice.m_upstream);
   AttemptRequest request;
   request.m_choice = aChoice;
+  request.m_service = m_service;
   request.m_address = state->m_entry.m_address;
   request.m_startedAtMs = state->m_entry.m_startedAtMs;
   request.m_attemptId = m_request.m_attemptId;
@@ -423,7 +431,8 @@
   m_progress->NoteOutcome(sendOutcome);
   const bool hasUpstreamFailed = health != ExchangeOutcome::kSucceeded;
   const bool isDropped = !isInUse && reason == AbortReason::kReplaced;
-  const bool isNoted = isDropped || (aAttempt->IsSilent() && hasUpstreamFailed);
+  const bool isNoted = isDropped || aAttempt->IsWithheld() ||
+                       (aAttempt->IsSilent() && hasUpstreamFailed);
   if (reason != AbortReason::kCallerDisconnected && !isNoted) {
     m_state->m_upstreams.NoteOutcome(aAttempt->Upstream(), health, now);
   }
--- a/lib/Forwarding/UpstreamAttempt.cpp
+++ b/lib/Forwarding/UpstreamAttempt.cpp
@@ -86,6 +86,7 @@
                                 Choice().m_prefill,
                                 m_request.m_parts,
                                 m_startedAt);
+  m_state->m_coldRate.Reserve(Upstream(), m_request.m_service);
   m_state->m_onLoadChanged(Upstream(), m_request.m_parts);
 }
 
@@ -163,6 +164,14 @@
   const Instant now = m_state->Now();
   m_state->m_counters.m_connectTime.Record(now - m_startedAt);
   m_state->m_adaptiveConnectTimeout.NoteConnected(now - m_startedAt);
+  m_isReserved = false;
+  const std::string_view reason =
+    m_state->WithholdsFrom(Upstream(), m_request.m_service, now);
+  if (!reason.empty()) {
+    m_isWithheld = true;
+    m_errorMessage = reason;
+    co_return false;
+  }
   m_sentAt = now;
   m_heardAt = now;
   m_exchange->BeginSending(m_writeHead(*this), m_request.m_body);
@@ -198,6 +207,10 @@
     m_state->m_upstreams.NoteReport(Upstream(), *m_response.m_load);
     m_state->m_onLoadChanged(Upstream(), {});
   }
+  if (const UpstreamState* state = m_state->m_upstreams.Find(Upstream());
+      m_response.m_coldLeft && state != nullptr) {
+    m_state->NoteCold(state->m_entry, *m_response.m_coldLeft, false);
+  }
   if (m_response.m_isProvedNotRun && !IsSuccess(m_response.m_status) &&
       !IsForOtherAttempt()) {
     co_return AttemptStep::kNotRun;
@@ -362,6 +375,9 @@
 {
   m_isFinished = true;
   m_onStep = nullptr;
+  if (std::exchange(m_isReserved, false)) {
+    m_state->m_coldRate.Release(Upstream());
+  }
   m_connectDeadline.reset();
   m_exchange->Close();
 }
--- a/lib/Scheduling/Placement.cpp
+++ b/lib/Scheduling/Placement.cpp
@@ -114,8 +114,19 @@
                             Instant aNow)
 {
   // All routers order the pool identically; its first upstreams form the light
-  // partition.
-  std::vector<const UpstreamState*> pool = aUsable;
+  // partition. The cold ones, which get little, belong to neither partition.
+  std::vector<const UpstreamState*> pool;
+  std::vector<Candidate> candidates;
+  for (const UpstreamState* state : aUsable) {
+    const UpstreamId& id = state->m_entry.m_id;
+    if (!aRequest.m_cold.m_open.contains(id)) {
+      if (!aRequest.m_cold.m_withheld.contains(id)) {
+        pool.push_back(state);
+      }
+    } else if (!aRequest.m_excluded.contains(id)) {
+      candidates.push_back({ state, false, true });
+    }
+  }
   std::sort(
     pool.begin(), pool.end(), [](const auto* aLeft, const auto* aRight) {
       return aLeft->m_hash < aRight->m_hash;
@@ -138,14 +149,13 @@
     const bool isCrossPartition = (i < lightSize) == isHeavy;
     const std::uint64_t weight = CombineHashes(pool[i]->m_hash, key);
     (isCrossPartition ? fallback : preferred)
-      .push_back({ { pool[i], isCrossPartition }, weight });
+      .push_back({ { pool[i], isCrossPartition, false }, weight });
   }
   const auto byWeight = [](const Ranked& aLeft, const Ranked& aRight) {
     return aLeft.m_weight > aRight.m_weight;
   };
   std::sort(preferred.begin(), preferred.end(), byWeight);
   std::sort(fallback.begin(), fallback.end(), byWeight);
-  std::vector<Candidate> candidates;
   for (std::size_t i = 0; i < preferred.size(); ++i) {
     // A light request may use any engine of its partition: its prefill is cheap
     // even if nothing is cached there.
@@ -196,6 +206,9 @@
   if (aCandidate.m_isCrossPartition) {
     cost += m_options.m_crossPartitionPenalty;
   }
+  if (aCandidate.m_isCold) {
+    cost += m_options.m_coldPenalty;
+  }
   if (state.m_avoidUntil > aNow) {
     cost += m_options.m_avoidedPenalty;
   }
@@ -216,8 +229,11 @@
   std::vector<Candidate> candidates;
   if (aRequest.m_parts.empty()) {
     for (const UpstreamState* state : usable) {
-      if (!aRequest.m_excluded.contains(state->m_entry.m_id)) {
-        candidates.push_back({ state, false });
+      const UpstreamId& id = state->m_entry.m_id;
+      if (!aRequest.m_excluded.contains(id) &&
+          !aRequest.m_cold.m_withheld.contains(id)) {
+        candidates.push_back(
+          { state, false, aRequest.m_cold.m_open.contains(id) });
       }
     }
   } else {
@@ -249,6 +265,10 @@
     result.m_verdict = PlacementResult::Verdict::kOverloaded;
     result.m_retryAfter = std::chrono::milliseconds(300);
   }
+  if (result.m_verdict == PlacementResult::Verdict::kNoUpstream &&
+      !aRequest.m_cold.m_withheld.empty()) {
+    result.m_verdict = PlacementResult::Verdict::kCold;
+  }
   return result;
 }
 
--- a/lib/Scheduling/UpstreamView.cpp
+++ b/lib/Scheduling/UpstreamView.cpp
@@ -81,7 +81,8 @@
 {
   std::vector<const UpstreamState*> usable;
   for (const auto& [id, state] : m_upstreams) {
-    if (state.m_entry.m_service == aService && !state.m_entry.m_isDraining) {
+    if (state.m_entry.m_service == aService && !state.m_entry.m_isDraining &&
+        !m_evacuation.IsEvacuated(state.m_entry.m_zone)) {
       usable.push_back(&state);
     }
   }
--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -31,6 +31,22 @@
 
 } // namespace
 
+TEST_CASE("what a service says of its cold upstreams", "[documents]")
+{
+  const auto read = [](const std::string& aFields) {
+    const auto config = ReadConfiguration(
+      R"({"version":1,"routes":[],"services":[{"name":"s")" + aFields + "}]}");
+    REQUIRE(config.ok());
+    return config->m_services.at(0);
+  };
+  const Service limited = read(R"(,"coldPerS":14.5,"coldS":3.5)");
+  CHECK(limited.m_coldPerSecond == 14.5);
+  CHECK(limited.m_coldTime == std::chrono::milliseconds(3500));
+  CHECK(read("").m_coldPerSecond == 0);
+  CHECK(read(R"(,"coldPerS":"many","coldS":null)").m_coldPerSecond == 0);
+  CHECK(read(R"(,"coldPerS":-1,"coldS":1e12)").m_coldTime == Duration(0));
+}
+
 TEST_CASE("the operator's configuration", "[documents]")
 {
   const std::string text = R"({"version":7,"routes":[
--- a/unittests/Platform/PlatformWatchTest.cpp
+++ b/unittests/Platform/PlatformWatchTest.cpp
@@ -172,6 +172,16 @@
   EventLog log(-1, "test", {});
   GatewayState state(
     MakeDialect(), {}, { "host", HolderId("host/1"), "127.0.0.1:1" }, {}, log);
+  GatewayState followerState(MakeDialect(),
+                             {},
+                             { "host2", HolderId("host2/1"), "127.0.0.1:2" },
+                             {},
+                             log);
+  GatewayState laterState(MakeDialect(),
+                          {},
+                          { "host3", HolderId("host3/1"), "127.0.0.1:3" },
+                          {},
+                          log);
   StoreClient client(io, store.m_server.Address());
   StoreConfirmations confirmations(state);
   PlatformWatch watch(io, state, client, confirmations);
@@ -247,6 +257,65 @@
     }
   }
 
+  SECTION("evacuates a zone and takes it back")
+  {
+    const auto usable = [&state] {
+      return state.m_upstreams.Usable(ServiceId("desk")).size();
+    };
+    REQUIRE(usable() == 2);
+    PlatformWatch follower(io, followerState, client, confirmations);
+    const auto follow = [&] {
+      const FeedRequest request = follower.Request(Duration(0));
+      return follower.ApplyResponse(watch.ResponseTo(request)).ok();
+    };
+    const auto usableAtFollower = [&followerState] {
+      return followerState.m_upstreams.Usable(ServiceId("desk")).size();
+    };
+    REQUIRE(follow());
+    REQUIRE(usableAtFollower() == 2);
+    store.Put("op/evacuate/z", "{}");
+    REQUIRE(runUntil(kMaxChangeDelay, [&] { return usable() == 0; }));
+    const UpstreamId first("u1");
+    CHECK_FALSE(
+      state.WithholdsFrom(first, ServiceId("desk"), state.Now()).empty());
+
+    SECTION("also at a router that follows, by what changed and in full")
+    {
+      CHECK(watch.HasChanges(follower.Request(Duration(0))));
+      REQUIRE(follow());
+      CHECK(usableAtFollower() == 0);
+      PlatformWatch later(io, laterState, client, confirmations);
+      REQUIRE(
+        later.ApplyResponse(watch.ResponseTo(later.Request(Duration(0)))).ok());
+      CHECK(laterState.m_upstreams.Usable(ServiceId("desk")).empty());
+      store.Remove("op/evacuate/z");
+      REQUIRE(runUntil(kMaxChangeDelay, [&] { return usable() == 2; }));
+      REQUIRE(follow());
+      CHECK(usableAtFollower() == 2);
+      CHECK(state.WithholdsFrom(first, ServiceId("desk"), state.Now()).empty());
+    }
+    SECTION("with a new version of the configuration meanwhile")
+    {
+      store.PutVersion(6, 100);
+      REQUIRE(runUntil(kMaxChangeDelay, [&] { return version() == 6; }));
+      CHECK(usable() == 0);
+    }
+    SECTION("and keeps to it while the store is out of reach")
+    {
+      store.m_isUnavailable = true;
+      store.PutUpstream("u2", "ready"); // Ends the pending watch.
+      io.run_for(milliseconds(300));
+      CHECK(usable() == 0);
+    }
+    SECTION("and counts a zone that no upstream is in")
+    {
+      store.Put("op/evacuate/nowhere", "{}");
+      REQUIRE(runUntil(kMaxChangeDelay,
+                       [&] { return state.m_counters.m_unknownZones == 1; }));
+      CHECK(usable() == 0);
+    }
+  }
+
   SECTION("ignores entries of another writer and applies the others")
   {
     PutOddEntries(store);
