--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -23,10 +23,11 @@
 class Site:
     """One gateway and its scripted upstreams, all in the event loop of the platform."""
 
-    def __init__(self, routes, bounds=None, limits=None):
+    def __init__(self, routes, bounds=None, limits=None, service_fields=None):
         self.platform = Platform()
         self.routes = [*routes, route("probe", "safe", "probe")]
         self.version = 0
+        self.service_fields = service_fields or {}
         self.upstreams = []
         self.run(self.configure())
         self.ip = self.platform.start_gateway(2, 1000, bounds=bounds, limits=limits)
@@ -49,13 +50,13 @@
         self.version += 1
         services = sorted({route_["service"] for route_ in self.routes})
         document = {"version": self.version, "routes": self.routes, "limits": {},
-                    "services": [{"name": service} for service in services]}
+                    "services": [{"name": service, **self.service_fields} for service in services]}
         await self.platform.store.put(CONFIG_KEY, json.dumps(document))
 
-    async def enter(self, upstream_id, service, address, state="ready"):
+    async def enter(self, upstream_id, service, address, state="ready", zone="z", cold_left_ms=0):
         """Writes the entry of an upstream."""
-        entry = {"service": service, "addr": address, "zone": "z", "version": 1, "slots": 8, "state": state,
-                 "coldLeftMs": 0, "seq": 1, "born": 1}
+        entry = {"service": service, "addr": address, "zone": zone, "version": 1, "slots": 8, "state": state,
+                 "coldLeftMs": cold_left_ms, "seq": 1, "born": 1}
         await self.platform.store.put(f"servers/{upstream_id}", json.dumps(entry))
 
     async def start_upstream(self, upstream_id, service, script, is_entered=True):
--- a/test/platform_stand_in.py
+++ b/test/platform_stand_in.py
@@ -42,6 +42,15 @@
             self.changed.notify_all()
             return self.revision
 
+    async def remove(self, key):
+        """Removes a key and returns the new revision."""
+        async with self.changed:
+            self.revision += 1
+            del self.items[key]
+            self.history.append({"key": key, "rev": self.revision, "deleted": True})
+            self.changed.notify_all()
+            return self.revision
+
     async def handle(self, target, body):
         """Returns the status and the JSON document of the response to a request."""
         url = urllib.parse.urlsplit(target)
