--- a/include/bergamotpaddle/Scheduling/UpstreamView.h
+++ b/include/bergamotpaddle/Scheduling/UpstreamView.h
@@ -6,6 +6,7 @@
 
 #include "bergamotpaddle/Routing/RouteTable.h"
 #include "bergamotpaddle/Scheduling/UpstreamNotices.h"
+#include "bergamotpaddle/Scheduling/ZoneEvacuation.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <cstdint>
@@ -120,6 +121,10 @@
   UpstreamState* Find(const UpstreamId& aId);
   const UpstreamState* Find(const UpstreamId& aId) const;
 
+  /// The zones whose upstreams accept no new work.
+  ZoneEvacuation& Evacuation() { return m_evacuation; }
+  const ZoneEvacuation& Evacuation() const { return m_evacuation; }
+
   /// Returns the upstreams of \p aService that accept new work, ordered by id.
   std::vector<const UpstreamState*> Usable(const ServiceId& aService) const;
   /// Whether \p aId is listed and may be sent a request now.
@@ -197,6 +202,7 @@
   std::map<UpstreamId, UpstreamState> m_upstreams;
   UpstreamNotices m_notices;
   absl::flat_hash_map<std::uint32_t, UpstreamId> m_idByShortHash;
+  ZoneEvacuation m_evacuation;
 };
 
 } // namespace bergamotpaddle
--- a/lib/Scheduling/UpstreamView.cpp
+++ b/lib/Scheduling/UpstreamView.cpp
@@ -88,7 +88,8 @@
   std::vector<const UpstreamState*> usable;
   for (const auto& [id, state] : m_upstreams) {
     if (state.m_entry.m_service == aService && !state.m_entry.m_isDraining &&
-        !m_notices.IsLeaving(IncarnationOf(state.m_entry))) {
+        !m_notices.IsLeaving(IncarnationOf(state.m_entry)) &&
+        !m_evacuation.IsEvacuated(state.m_entry.m_zone)) {
       usable.push_back(&state);
     }
   }
@@ -101,6 +102,7 @@
   const UpstreamState* state = Find(aId);
   return state != nullptr && !state->m_entry.m_isDraining &&
          !m_notices.IsLeaving(IncarnationOf(state->m_entry)) &&
+         !m_evacuation.IsEvacuated(state->m_entry.m_zone) &&
          !IsClosed(*state, aNow);
 }
 
