--- a/unittests/Platform/DialectTest.cpp
+++ b/unittests/Platform/DialectTest.cpp
@@ -172,3 +172,18 @@
   CHECK(*FindField(fields, "Bergamotpaddle-Request-Priority") == "9");
   CHECK_FALSE(HasField(fields, "Last-Event-Id"));
 }
+
+TEST_CASE("how long an upstream says that it stays cold", "[dialect]")
+{
+  const auto read = [](const std::string& aValue) {
+    return platform::MakeDialect()
+      .m_readResponse(200, "OK", { { "Bergamotpaddle-Cold-Ms", aValue } })
+      .m_coldLeft;
+  };
+  CHECK(read("2500") == std::chrono::milliseconds(2500));
+  CHECK(read(" 0 ") == Duration(0));
+  for (const char* odd : { "", "-1", "soon", "1e3", "99999999999999999999" }) {
+    CAPTURE(odd);
+    CHECK_FALSE(read(odd));
+  }
+}
