Credit: losses of all routers share one bound in the record

Change: the record tells what each grant had in use at its last write. What was written off and what is held ahead share 0.2 of prepaid (LossBound), so losses turn one into the other and never add up to more, but for working parts.

--- a/include/bergamotpaddle/Credit/CreditBook.h
+++ b/include/bergamotpaddle/Credit/CreditBook.h
@@ -24,6 +24,7 @@
 #pragma once
 
 #include "bergamotpaddle/Credit/CreditRecord.h"
+#include "bergamotpaddle/Credit/LossBound.h"
 #include "bergamotpaddle/Support/Time.h"
 
 #include <algorithm>
@@ -93,6 +94,8 @@
   double m_maxUrgentHoldShare = 0.02;
   /// A grant whose unspent part exceeds the headroom by this factor is lowered.
   double m_lowerGrantFactor = 1.5;
+  /// What losses of routers may cost altogether.
+  LossBoundOptions m_lossBound;
 };
 
 /// Urgency of a request among those of its account: 0 is the most urgent.
@@ -154,6 +157,8 @@
   std::uint64_t m_borrowed = 0; ///< Part of m_limit: from other routers.
   std::uint64_t m_closed = 0;   ///< Closed grants in the record.
   std::uint64_t m_closedSpent = 0;     ///< Part of m_closed: known to be spent.
+  std::uint64_t m_writtenOff = 0;      ///< `AccountCredit::WrittenOff`.
+  std::uint64_t m_maxHeldAhead = 0;    ///< See `LossBound.h`.
   std::uint64_t m_grantedToOthers = 0; ///< Other holders' grants in the record.
   std::uint64_t m_rate = 0;            ///< Demand at this router, in tokens/s.
   bool m_isDrawnLocally = false;       ///< Not borrowed from a home.
@@ -371,8 +376,11 @@
     std::uint64_t m_grantedToOthers = 0; ///< In the record when last read.
     double m_rateOfOthers = 0;     ///< Tokens/s in the record when last read.
     std::uint64_t m_remaining = 0; ///< Budget less spent and closed credit.
-    double m_demandRate = 0;       ///< Tokens/s, moving average.
-    double m_averageRequest = 0;   ///< Maximum tokens of a request, averaged.
+    std::uint64_t m_remainingLoss = 0; ///< `RemainingLoss` when last read.
+    std::uint64_t m_maxHeldAhead = 0;  ///< `MaxHeldAhead` when last read.
+    std::uint64_t m_writtenOff = 0;    ///< In the record when last read.
+    double m_demandRate = 0;           ///< Tokens/s, moving average.
+    double m_averageRequest = 0; ///< Maximum tokens of a request, averaged.
     std::optional<Instant> m_lastDemand;
 
     bool IsBorrowed() const { return m_drawRole == DrawRole::kBorrower; }
@@ -395,6 +403,11 @@
     {
       return GrantLimit() - std::min(GrantLimit(), Used());
     }
+    /// What is in use under this router's grant; borrowed credit is used first.
+    std::uint64_t OwnUsed() const
+    {
+      return Used() > m_borrowed ? Used() - m_borrowed : 0;
+    }
     /// Settled spending under this router's grant; borrowed credit is spent
     /// first.
     std::uint64_t OwnSpent() const
@@ -431,7 +444,9 @@
                       Instant aNow) const;
   /// Tokens to grant beyond those already used, including the reserve.
   std::uint64_t Headroom(const Balance& aBalance, Instant aNow) const;
-  /// The part of the headroom that is not in reserve.
+  /// The part of the headroom that is not in reserve. The least part of it, for
+  /// waiting requests and the demand until the next draws, is held even if
+  /// losses have used up their bound.
   std::uint64_t WorkingHeadroom(const Balance& aBalance, Instant aNow) const;
   bool NeedsDraw(const Balance& aBalance, Instant aNow) const;
   /// This router's headroom for an account without demand: its part of
--- a/include/bergamotpaddle/Credit/CreditRecord.h
+++ b/include/bergamotpaddle/Credit/CreditRecord.h
@@ -10,6 +10,7 @@
 #include "bergamotpaddle/Support/TypedId.h"
 
 #include <absl/status/statusor.h>
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -43,7 +44,16 @@
   std::uint64_t m_working = 0;
   std::uint64_t m_spent = 0; ///< Known to be spent at the time of the write.
   std::uint64_t m_rate = 0;  ///< Demand at the time of the write, in tokens/s.
+  /// Part of m_granted that was spent, allotted or lent at the time of the
+  /// write; it includes m_spent. Unlike m_spent, part of it may come back.
+  std::uint64_t m_used = 0;
   auto operator<=>(const CreditGrant&) const = default;
+
+  /// Credit held ahead of demand at the time of the write.
+  std::uint64_t HeldAhead() const
+  {
+    return m_granted - std::min(m_granted, m_used);
+  }
 };
 
 /// The recorded credit of one account. Amounts are in tokens.
@@ -51,6 +61,8 @@
 {
   std::uint64_t m_closed = 0;      ///< Ended incarnations; counted as spent.
   std::uint64_t m_closedSpent = 0; ///< Part of m_closed: known to be spent.
+  /// Part of m_closed: in use when the ended incarnations last wrote.
+  std::uint64_t m_closedUsed = 0;
   std::map<HolderId, CreditGrant> m_grants;
   auto operator<=>(const AccountCredit&) const = default;
 
@@ -60,6 +72,11 @@
   /// incarnations took with them, spent or not, and what the current ones are
   /// known to have spent.
   std::uint64_t Consumed() const;
+  /// Upper bound of the unused credit that ended incarnations took with them.
+  std::uint64_t WrittenOff() const
+  {
+    return m_closed - std::min(m_closed, m_closedUsed);
+  }
   /// Demand of all routers, in tokens/s.
   std::uint64_t Rate() const;
   /// Removes the grant of \p aIncarnation and counts it as spent, without its
@@ -69,7 +86,8 @@
 
   std::string Encode() const;
   /// Fails with DataLoss on incomplete or malformed text: missing values are
-  /// never replaced by defaults.
+  /// never replaced by defaults. Routers of an earlier release don't write what
+  /// was in use; at least what was spent was.
   static absl::StatusOr<AccountCredit> Decode(const std::string& aText);
 };
 
--- a/lib/Credit/CreditBook.cpp
+++ b/lib/Credit/CreditBook.cpp
@@ -577,6 +577,8 @@
   status.m_borrowed = balance.m_borrowed;
   status.m_closed = balance.m_closed;
   status.m_closedSpent = balance.m_closedSpent;
+  status.m_writtenOff = balance.m_writtenOff;
+  status.m_maxHeldAhead = balance.m_maxHeldAhead;
   status.m_grantedToOthers = balance.m_grantedToOthers;
   status.m_rate = static_cast<std::uint64_t>(DemandRateAt(balance, aNow));
   status.m_isDrawnLocally = !balance.IsBorrowed();
--- a/lib/Credit/CreditDraws.cpp
+++ b/lib/Credit/CreditDraws.cpp
@@ -24,7 +24,8 @@
                            : static_cast<double>(m_holderCount);
   const double shareOfFree =
     aShare * static_cast<double>(aBalance.m_freeAtLastRead);
-  return static_cast<std::uint64_t>(shareOfFree / holders);
+  return std::min(static_cast<std::uint64_t>(shareOfFree / holders),
+                  aBalance.m_maxHeldAhead);
 }
 
 std::uint64_t
@@ -33,15 +34,20 @@
   if (aBalance.IsBorrowed()) {
     return 0; // A borrower draws nothing.
   }
+  const double drawSeconds =
+    Seconds(m_drawInterval) * m_options.m_workingDrawIntervals;
   const double seconds =
-    std::max(Seconds(m_options.m_workingDuration),
-             Seconds(m_drawInterval) * m_options.m_workingDrawIntervals);
+    std::max(Seconds(m_options.m_workingDuration), drawSeconds);
   const double shareOfRemaining =
     m_options.m_maxWorkingShare * static_cast<double>(aBalance.m_remaining);
-  const double byDemand =
-    std::min(DrawRate(aBalance, aNow) * seconds, shareOfRemaining);
-  const double needed = std::max(
-    byDemand, m_options.m_minHeadroomRequests * aBalance.m_averageRequest);
+  const auto byDemandOf = [&](double aSeconds) {
+    return std::min(DrawRate(aBalance, aNow) * aSeconds, shareOfRemaining);
+  };
+  const auto maxLoss = static_cast<double>(aBalance.m_remainingLoss);
+  const double needed =
+    std::max({ byDemandOf(drawSeconds),
+               std::min(byDemandOf(seconds), maxLoss),
+               m_options.m_minHeadroomRequests * aBalance.m_averageRequest });
   return std::max({ aBalance.m_waitingTokens + aBalance.m_unmetLoans,
                     static_cast<std::uint64_t>(needed),
                     BaseHeadroom(aBalance, m_options.m_baseWorkingShare) });
@@ -59,7 +65,9 @@
   const double shareOfDemand = rate == 0 ? 0 : rate / totalRate;
   const double maxHeld = MaxHeld(aBalance) * shareOfDemand;
   const double byDemand =
-    std::min(rate * Seconds(m_options.m_outageDuration), maxHeld);
+    std::min({ rate * Seconds(m_options.m_outageDuration),
+               maxHeld,
+               static_cast<double>(aBalance.m_maxHeldAhead) });
   return std::max({ WorkingHeadroom(aBalance, aNow),
                     static_cast<std::uint64_t>(byDemand),
                     BaseHeadroom(aBalance, m_options.m_baseShare) });
@@ -199,10 +207,12 @@
              TargetLimit(aBalance.Used(),
                          aBalance.WorkingLimit(),
                          WorkingHeadroom(aBalance, aNow)));
-  return { limit - std::min(limit, aBalance.m_borrowed),
+  const std::uint64_t granted = limit - std::min(limit, aBalance.m_borrowed);
+  return { granted,
            working - std::min(working, aBalance.m_borrowed),
            aBalance.OwnSpent(),
-           static_cast<std::uint64_t>(DemandRateAt(aBalance, aNow)) };
+           static_cast<std::uint64_t>(DemandRateAt(aBalance, aNow)),
+           std::min(granted, aBalance.OwnUsed()) };
 }
 
 void
@@ -216,6 +226,11 @@
   aBalance.m_consumedByOthers = aCredit.Consumed();
   aBalance.m_closed = aCredit.m_closed;
   aBalance.m_closedSpent = aCredit.m_closedSpent;
+  aBalance.m_writtenOff = aCredit.WrittenOff();
+  aBalance.m_remainingLoss =
+    RemainingLoss(m_options.m_lossBound, aCredit, aBalance.m_prepaid);
+  aBalance.m_maxHeldAhead = MaxHeldAhead(
+    m_options.m_lossBound, aCredit, m_self.m_incarnation, aBalance.m_prepaid);
   aBalance.m_grantedToOthers =
     committed - aCredit.m_closed - aBalance.OwnGrant();
   aBalance.m_rateOfOthers = static_cast<double>(aCredit.Rate());
@@ -240,6 +255,7 @@
     const std::uint64_t used = balance->second.Used();
     grant.m_granted = used - std::min(used, balance->second.m_borrowed);
     grant.m_spent = balance->second.OwnSpent();
+    grant.m_used = grant.m_granted;
     constexpr bool kIsReserveClosed = false; // m_granted has no reserve now.
     credit.Close(m_self.m_incarnation, kIsReserveClosed);
     plan.emplace(account, std::move(credit));
--- a/lib/Credit/CreditRecord.cpp
+++ b/lib/Credit/CreditRecord.cpp
@@ -75,9 +75,11 @@
 AccountCredit::Close(const HolderId& aIncarnation, bool aIsReserveClosed)
 {
   if (const auto grant = m_grants.extract(aIncarnation)) {
-    m_closed +=
+    const std::uint64_t closed =
       aIsReserveClosed ? grant.mapped().m_working : grant.mapped().m_granted;
+    m_closed += closed;
     m_closedSpent += grant.mapped().m_spent;
+    m_closedUsed += std::min(closed, grant.mapped().m_used);
   }
 }
 
@@ -91,12 +93,14 @@
                          grant.m_granted,
                          grant.m_working,
                          grant.m_spent,
-                         grant.m_rate });
+                         grant.m_rate,
+                         grant.m_used });
     }
   }
   return json{
     { "closed", m_closed },
     { "closed_spent", m_closedSpent },
+    { "closed_used", m_closedUsed },
     { "grants", std::move(grants) }
   }.dump();
 }
@@ -109,12 +113,15 @@
     AccountCredit credit;
     credit.m_closed = value.at("closed").get<std::uint64_t>();
     credit.m_closedSpent = value.at("closed_spent").get<std::uint64_t>();
+    credit.m_closedUsed = value.value("closed_used", credit.m_closedSpent);
     for (const json& grant : value.at("grants")) {
+      const auto spent = grant.at(3).get<std::uint64_t>();
       credit.m_grants[HolderId(grant.at(0).get<std::string>())] = {
         grant.at(1).get<std::uint64_t>(),
         grant.at(2).get<std::uint64_t>(),
-        grant.at(3).get<std::uint64_t>(),
-        grant.at(4).get<std::uint64_t>()
+        spent,
+        grant.at(4).get<std::uint64_t>(),
+        grant.size() > 5 ? grant[5].get<std::uint64_t>() : spent
       };
     }
     return credit;
--- a/unittests/Credit/CreditFleet.h
+++ b/unittests/Credit/CreditFleet.h
@@ -37,8 +37,13 @@
 public:
   static constexpr Duration kStep = std::chrono::milliseconds(20);
 
-  CreditFleet(std::size_t aRouters, std::uint64_t aPrepaid, unsigned aSeed)
-    : m_prepaid(aPrepaid)
+  /// If \p aHasHome is false, each router draws for itself.
+  CreditFleet(std::size_t aRouters,
+              std::uint64_t aPrepaid,
+              unsigned aSeed,
+              bool aHasHome = true)
+    : m_hasHome(aHasHome)
+    , m_prepaid(aPrepaid)
     , m_random(aSeed)
     , m_routers(aRouters)
   {
@@ -206,6 +211,9 @@
 
   void ChooseHome()
   {
+    if (!m_hasHome) {
+      return;
+    }
     const auto home = std::find_if(
       m_routers.begin(), m_routers.end(), [](const Router& aRouter) {
         return aRouter.m_book != nullptr;
@@ -321,7 +329,8 @@
                   [aNumber](const CreditRequest& aRequest) {
                     return aRequest.m_router == aNumber;
                   });
-    if (aNumber != m_home && (hasWaiter || m_now >= router.m_borrowDue)) {
+    if (m_hasHome && aNumber != m_home &&
+        (hasWaiter || m_now >= router.m_borrowDue)) {
       ExchangeWithHome(router);
     }
     CreditBook& book = *router.m_book;
@@ -332,6 +341,7 @@
     }
   }
 
+  bool m_hasHome;
   std::uint64_t m_prepaid;
   std::mt19937 m_random;
   std::vector<Router> m_routers;
--- a/unittests/Credit/ReservePledgeTest.cpp
+++ b/unittests/Credit/ReservePledgeTest.cpp
@@ -190,6 +190,7 @@
   constexpr std::uint64_t kUnspent = 300'000;
   CreditRecord record;
   record.m_accounts[kAccount].m_closed = kPrepaid - kUnspent;
+  record.m_accounts[kAccount].m_closedUsed = kPrepaid - kUnspent;
   CreditBook home({ "cafe-1", kIncarnation, "a" }, {});
   home.SetPrepaid(kAccount, kPrepaid);
   home.SetDrawRole(kAccount, CreditBook::DrawRole::kHome);
