Routers of a zone level their load by reports in their digests

Cause: the load balancer assigns callers by a hash, whatever a router's size, and a small router that hands over half of its connections gets them back when it is ready again after 4.7 s.

Change: RouterLevelling. Each router tells room (limits.cpuShare x cores) and pressure (loop delay, bytes against its link) in its digests. The most loaded of a zone leave the rotation while others have room: at most a third of the zone at once and 11.5% of the time of all known routers, for 6 to 48 s, longer after a relapse. Connections are closed after their next responses. A router that would be late refuses requests (503, Retry-After, not run) while others of its zone have room. Without reports or limits.cpuShare: ConnectionShedding as before.

--- a/include/bergamotpaddle/Forwarding/GatewayServer.h
+++ b/include/bergamotpaddle/Forwarding/GatewayServer.h
@@ -89,8 +89,8 @@
   void BeginSession(Tcp::socket aSocket);
   /// Records that the event loop ran a tick \p aDelay late.
   void RecordLoopDelay(Duration aDelay);
-  /// Begins or ends handing connections over to other routers.
-  void UpdateShedding(Duration aDelay, Instant aNow);
+  /// Leaves the load balancer's rotation or returns to it.
+  void UpdateLevelling(Duration aDelay, Instant aNow);
   Awaitable<void> RunTicks();
   /// Advances a graceful shutdown that is in progress.
   void CheckStop(Instant aNow);
--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -10,11 +10,11 @@
 #include "bergamotpaddle/Gateway/BufferQuota.h"
 #include "bergamotpaddle/Logging/EventLog.h"
 #include "bergamotpaddle/Metrics/Traffic.h"
-#include "bergamotpaddle/Scheduling/ConnectionShedding.h"
 #include "bergamotpaddle/Scheduling/Failover.h"
 #include "bergamotpaddle/Scheduling/Placement.h"
 #include "bergamotpaddle/Scheduling/PromptQuarantine.h"
 #include "bergamotpaddle/Scheduling/RetryBudget.h"
+#include "bergamotpaddle/Scheduling/RouterLevelling.h"
 #include "bergamotpaddle/Scheduling/StopAdmission.h"
 #include "bergamotpaddle/Support/ResultCode.h"
 
@@ -69,6 +69,9 @@
   std::uint64_t m_requestsCut = 0;
   /// Requests that were not passed on since a shutdown left too little time.
   std::uint64_t m_stopRefusals = 0;
+  /// Requests that were not passed on since they would have been late here
+  /// while other routers of the zone had room.
+  std::uint64_t m_levellingRefusals = 0;
   TrafficCounters m_traffic;
   std::uint64_t m_connectionsAccepted = 0; ///< From callers.
   /// How late the event loop ran its ticks; all other handlers of the loop are
@@ -123,8 +126,8 @@
   Duration m_retryAfterTransient = std::chrono::milliseconds(400);
   /// `Retry-After` for lack of credit, which is drawn about once a second.
   Duration m_retryAfterDraw = std::chrono::milliseconds(1000);
-  /// `Retry-After` of requests that come too late in a shutdown: another router
-  /// can take them at once.
+  /// `Retry-After` of requests that come too late in a shutdown or that would
+  /// be late here: another router can take them at once.
   Duration m_retryAfterStop = std::chrono::milliseconds(100);
   /// Shortest `Retry-After` of a request with a quarantined prompt part.
   Duration m_minQuarantineRetry = std::chrono::seconds(1);
@@ -186,7 +189,7 @@
   /// During a graceful shutdown: when every request must have its answer.
   std::optional<Instant> m_answersDueBy;
   StopAdmission m_stopAdmission;
-  ConnectionShedding m_shedding;
+  RouterLevelling m_levelling;
   std::size_t m_requestsInFlight = 0;
   BufferQuota m_requestBodies;
   BufferQuota m_responses;
--- a/include/bergamotpaddle/Gateway/PeerDigest.h
+++ b/include/bergamotpaddle/Gateway/PeerDigest.h
@@ -8,6 +8,7 @@
 
 #include "bergamotpaddle/Feed/FeedSource.h"
 #include "bergamotpaddle/Scheduling/PromptQuarantine.h"
+#include "bergamotpaddle/Scheduling/RouterLevelling.h"
 #include "bergamotpaddle/Scheduling/UpstreamView.h"
 
 #include <absl/status/statusor.h>
@@ -63,6 +64,7 @@
   /// Time since the store last responded to a call that the sender made itself,
   /// not through another router; negative if it never did.
   std::int64_t m_storeContactAgeMs = -1;
+  RouterLoad m_load; ///< Of the sender.
   MSGPACK_DEFINE(m_version,
                  m_senderIncarnation,
                  m_storeAgeMs,
@@ -72,7 +74,8 @@
                  m_feedChangedRevisions,
                  m_upstreams,
                  m_quarantine,
-                 m_storeContactAgeMs)
+                 m_storeContactAgeMs,
+                 m_load)
   auto operator<=>(const PeerDigest&) const = default;
 
   /// The sender's report on its replicas.
--- a/include/bergamotpaddle/Metrics/Traffic.h
+++ b/include/bergamotpaddle/Metrics/Traffic.h
@@ -43,6 +43,16 @@
   {
     return m_counts.at(static_cast<std::size_t>(aPeer));
   }
+  /// Of all kinds of peers.
+  TrafficCount Total() const
+  {
+    TrafficCount total;
+    for (const TrafficCount& count : m_counts) {
+      total.m_sent += count.m_sent;
+      total.m_received += count.m_received;
+    }
+    return total;
+  }
 
 private:
   std::array<TrafficCount, kTrafficPeerCount> m_counts{};
--- a/lib/Forwarding/CallerConnection.cpp
+++ b/lib/Forwarding/CallerConnection.cpp
@@ -303,7 +303,7 @@
                                    const std::string& aBody)
 {
   m_hasBegunResponse = true;
-  m_keepAlive = m_keepAlive && !m_state->m_shedding.TakeClose();
+  m_keepAlive = m_keepAlive && !m_state->m_levelling.TakeClose();
   std::string bytes = FormatHead(
     aResponse.m_status, aResponse.m_reason, aResponse.m_forwardedFields);
   Append(bytes, "Content-Length: ", aBody.size(), "\r\n\r\n");
@@ -330,7 +330,7 @@
 {
   m_hasBegunResponse = true;
   if (m_isHttp10 || m_state->m_isStopping ||
-      (m_keepAlive && m_state->m_shedding.TakeClose())) {
+      (m_keepAlive && m_state->m_levelling.TakeClose())) {
     m_keepAlive = false;
   }
   if (m_isHttp10) {
--- a/lib/Forwarding/GatewayMetrics.cpp
+++ b/lib/Forwarding/GatewayMetrics.cpp
@@ -90,7 +90,22 @@
   appendSingle("bergamotpaddle_connection_handovers_total",
                "counter",
                "Times that connections were handed over to other routers.",
-               static_cast<std::uint64_t>(m_state->m_shedding.Count()));
+               static_cast<std::uint64_t>(m_state->m_levelling.Count()));
+  appendSingle(
+    "bergamotpaddle_away_seconds_total",
+    "counter",
+    "Time in which the router was not ready, to level the load.",
+    static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(
+                                 m_state->m_levelling.TimeAway(m_state->Now()))
+                                 .count()));
+  appendSingle("bergamotpaddle_router_pressure",
+               "gauge",
+               "Load in permille of what the router bears.",
+               static_cast<std::uint64_t>(m_state->m_levelling.Pressure()));
+  appendSingle("bergamotpaddle_levelling_refusals_total",
+               "counter",
+               "Requests refused since other routers of the zone have room.",
+               counters.m_levellingRefusals);
   appendSingle("bergamotpaddle_tasks_failed_total",
                "counter",
                "Coroutines and handlers that an exception ended.",
--- a/lib/Forwarding/GatewayServer.cpp
+++ b/lib/Forwarding/GatewayServer.cpp
@@ -108,7 +108,7 @@
 GatewayServer::IsReady() const
 {
   return !m_state->m_isStopping && m_state->m_routes != nullptr &&
-         m_state->m_upstreams.Size() > 0 && m_state->m_shedding.IsReady();
+         m_state->m_upstreams.Size() > 0 && m_state->m_levelling.IsReady();
 }
 
 GatewayServer::Awaitable<void>
@@ -247,15 +247,22 @@
 }
 
 void
-GatewayServer::UpdateShedding(Duration aDelay, Instant aNow)
+GatewayServer::UpdateLevelling(Duration aDelay, Instant aNow)
 {
-  ConnectionShedding& shedding = m_state->m_shedding;
-  const bool wasReady = shedding.IsReady();
-  shedding.NoteLoopDelay(aDelay, m_sessions.size(), aNow);
-  if (shedding.IsReady() != wasReady) {
+  RouterLevelling& levelling = m_state->m_levelling;
+  const bool wasReady = levelling.IsReady();
+  const TrafficCount traffic = m_state->m_counters.m_traffic.Total();
+  levelling.NoteTick(aDelay,
+                     m_sessions.size(),
+                     std::max(traffic.m_sent, traffic.m_received),
+                     aNow);
+  if (levelling.IsReady() != wasReady) {
     m_state->Log(
       LogLine(wasReady ? "shedding.begun" : "shedding.ended")
-        .Milliseconds("loop_delay_ms", shedding.AverageDelay())
+        .Milliseconds("loop_delay_ms", levelling.AverageDelay())
+        .Number("pressure", levelling.Pressure())
+        .Number("zone_routers", static_cast<std::int64_t>(levelling.ZoneSize()))
+        .Milliseconds("away_ms", levelling.TimeAway(aNow))
         .Number("connections", static_cast<std::int64_t>(m_sessions.size())),
       true);
   }
@@ -274,7 +281,7 @@
     const Instant now = m_state->Now();
     const Duration delay = now - due;
     RecordLoopDelay(delay);
-    UpdateShedding(std::max(delay, Duration(0)), now);
+    UpdateLevelling(std::max(delay, Duration(0)), now);
     const Duration stall = delay >= kMinStall ? delay : Duration(0);
     for (auto& [id, session] : m_sessions) {
       session.m_caller->Tick(now, stall);
--- a/lib/Forwarding/RequestAdmission.cpp
+++ b/lib/Forwarding/RequestAdmission.cpp
@@ -55,6 +55,13 @@
   if (std::optional<LocalResponse> rejection = CheckCaller()) {
     return rejection;
   }
+  if (m_state->m_levelling.ShouldRefuse(m_route->m_objective)) {
+    ++m_state->m_counters.m_levellingRefusals;
+    return LocalResponse{ 503,
+                          ResultCode::kOverloaded,
+                          "another router has more room",
+                          m_state->m_options.m_retryAfterStop };
+  }
   m_deadline = OwnDeadline();
   if (m_state->m_answersDueBy) {
     LimitDeadline(*m_state->m_answersDueBy);
