--- a/include/bergamotpaddle/Gateway/PeerDigest.h
+++ b/include/bergamotpaddle/Gateway/PeerDigest.h
@@ -8,6 +8,7 @@
 
 #include "bergamotpaddle/Feed/FeedSource.h"
 #include "bergamotpaddle/Scheduling/PromptQuarantine.h"
+#include "bergamotpaddle/Scheduling/RouterLevelling.h"
 #include "bergamotpaddle/Scheduling/UpstreamView.h"
 
 #include <absl/status/statusor.h>
@@ -75,6 +76,7 @@
   /// Found leaving within the last few seconds; at most `kMaxLeaving`.
   std::vector<LeavingUpstream> m_leaving;
   static constexpr std::size_t kMaxLeaving = 32;
+  RouterLoad m_load; ///< Of the sender.
   MSGPACK_DEFINE(m_version,
                  m_senderIncarnation,
                  m_storeAgeMs,
@@ -85,7 +87,8 @@
                  m_upstreams,
                  m_quarantine,
                  m_storeContactAgeMs,
-                 m_leaving)
+                 m_leaving,
+                 m_load)
   auto operator<=>(const PeerDigest&) const = default;
 
   /// The sender's report on its replicas.
--- a/lib/Forwarding/PeerLink.cpp
+++ b/lib/Forwarding/PeerLink.cpp
@@ -201,6 +201,7 @@
         { UpstreamView::ShortHash(upstream.m_id), upstream.m_startedAtMs });
     }
   }
+  digest.m_load = m_state->m_levelling.Report(aNow);
   std::size_t size = digest.Encode().size();
   for (const auto& [id, newParts] : m_schedule.Candidates(aNow)) {
     const UpstreamState* state = m_state->m_upstreams.Find(id);
@@ -299,6 +300,8 @@
       ApplyLeaving(*digest, from);
       m_state->m_quarantine.Apply(digest->m_quarantine, m_state->Now());
       m_state->LogQuarantineChanges();
+      m_state->m_levelling.NoteReport(
+        AddressOf(from), digest->m_zone, digest->m_load, m_state->Now());
       m_onFeedStatus(AddressOf(from), digest->ToFeedStatus());
       if (digest->m_storeContactAgeMs >= 0) {
         m_onStoreContact(
