Learn the speed of each upstream and place by it

Cause: placement took all engines to have one speed, by constants of one pool; upstreams of a pool differ by more than a factor of two. Change: EngineSpeed learns prefill and step times from responses that had little ahead of them, relative to the median of the pool; routers share their measurements in digests. Forgotten at a restart of the upstream.

--- a/include/bergamotpaddle/Forwarding/UpstreamAttempt.h
+++ b/include/bergamotpaddle/Forwarding/UpstreamAttempt.h
@@ -141,6 +141,12 @@
   void NoteHeard();
   /// Records that the upstream answers the request.
   void NoteBegun();
+  /// Records that events have arrived, and how fast the upstream is if they are
+  /// the first ones.
+  void NoteEventTimes();
+  /// Records how fast the upstream is, as a complete response tells.
+  void NoteStreamSpeed();
+  void NoteCallSpeed();
   bool IsLightStream() const
   {
     return m_request.m_isStream && Choice().m_isLight;
@@ -165,6 +171,9 @@
   std::optional<Instant> m_connectDeadline;
   Duration m_connectTimeout{ 0 };
   std::optional<Instant> m_sentAt;
+  std::optional<Instant> m_firstEventAt;
+  Instant m_lastEventAt;
+  std::uint64_t m_laterEvents = 0; ///< That arrived after the first ones.
   bool m_isEventStream = false;
   bool m_hasReadBody = false;
   bool m_hasBegun = false;
--- a/include/bergamotpaddle/Gateway/PeerDigest.h
+++ b/include/bergamotpaddle/Gateway/PeerDigest.h
@@ -63,6 +63,7 @@
   /// Time since the store last responded to a call that the sender made itself,
   /// not through another router; negative if it never did.
   std::int64_t m_storeContactAgeMs = -1;
+  std::vector<SpeedReport> m_speeds; ///< The sender's own measurements.
   MSGPACK_DEFINE(m_version,
                  m_senderIncarnation,
                  m_storeAgeMs,
@@ -72,7 +73,8 @@
                  m_feedChangedRevisions,
                  m_upstreams,
                  m_quarantine,
-                 m_storeContactAgeMs)
+                 m_storeContactAgeMs,
+                 m_speeds)
   auto operator<=>(const PeerDigest&) const = default;
 
   /// The sender's report on its replicas.
--- a/include/bergamotpaddle/Scheduling/Placement.h
+++ b/include/bergamotpaddle/Scheduling/Placement.h
@@ -38,8 +38,10 @@
 {
   UpstreamId m_upstream;
   std::uint32_t m_uncachedTokens = 0;
-  Duration m_prefill{ 0 };  ///< Estimated prefill time of this prompt.
-  Duration m_expected{ 0 }; ///< Estimated wait for the first byte.
+  Duration m_prefill{ 0 };        ///< Estimated prefill time of this prompt.
+  Duration m_nominalPrefill{ 0 }; ///< The same at an engine of nominal speed.
+  Duration m_backlog{ 0 };        ///< Estimated prefill time ahead of it.
+  Duration m_expected{ 0 };       ///< Estimated wait for the first byte.
   bool m_isLight = false;
   int m_requests = 0; ///< In flight there.
 };
@@ -58,7 +60,8 @@
   Duration m_retryAfter{ 0 }; ///< Until capacity may be available again.
 };
 
-/// Parameters of the placement policy. Engine speeds are as specified.
+/// Parameters of the placement policy. Engine speeds are nominal ones, which
+/// apply to a pool until its own are measured.
 struct PlacementOptions
 {
   std::string m_zone; ///< The router's availability zone.
@@ -123,6 +126,8 @@
   /// \p aUncached aren't cached.
   Duration PrefillTime(std::uint32_t aUncached, std::uint32_t aTotal) const;
 
+  const PlacementOptions& Options() const { return m_options; }
+
   /// Whether the request's prefill would delay running streams noticeably.
   bool IsHeavy(const PlacementRequest& aRequest) const;
 
--- a/include/bergamotpaddle/Scheduling/UpstreamView.h
+++ b/include/bergamotpaddle/Scheduling/UpstreamView.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "bergamotpaddle/Routing/RouteTable.h"
+#include "bergamotpaddle/Scheduling/EngineSpeed.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <cstdint>
@@ -76,6 +77,7 @@
   Instant m_prefillDoneAt{}; ///< Estimated end of own prefills.
   int m_consecutiveFailures = 0;
   Instant m_avoidUntil{}; ///< Set after failures.
+  SpeedFactors m_speed;
   /// Load of each peer and when it was reported, by the peer's incarnation.
   std::map<std::string, std::pair<SentLoad, Instant>> m_peerLoads;
   /// When each prompt part was last sent there, by this router or a peer.
@@ -157,6 +159,16 @@
                      const std::vector<std::uint64_t>& aParts,
                      Instant aNow);
 
+  /// Records that a response of \p aId took \p aRatio times the nominal
+  /// duration.
+  void NoteSpeed(const UpstreamId& aId, SpeedKind aKind, double aRatio);
+  /// Records what \p aPeer has measured.
+  void NotePeerSpeeds(const std::string& aPeer,
+                      const std::vector<SpeedReport>& aReports);
+  /// Own measurements for the next datagram to peers.
+  std::vector<SpeedReport> NextSpeedReports() { return m_speeds.NextReports(); }
+  const EngineSpeed& Speeds() const { return m_speeds; }
+
   /// Number of requests in flight at an upstream, from this router and from
   /// peers as reported.
   int Requests(const UpstreamState& aState, Instant aNow) const;
@@ -179,9 +191,13 @@
   SentLoad OwnLoad(const UpstreamState& aState, Instant aNow) const;
 
 private:
+  /// Updates `UpstreamState::m_speed` where it has changed.
+  void RefreshSpeeds();
+
   UpstreamViewOptions m_options;
   std::map<UpstreamId, UpstreamState> m_upstreams;
   absl::flat_hash_map<std::uint32_t, UpstreamId> m_idByShortHash;
+  EngineSpeed m_speeds;
 };
 
 } // namespace bergamotpaddle
--- a/lib/Forwarding/GatewayMetrics.cpp
+++ b/lib/Forwarding/GatewayMetrics.cpp
@@ -149,6 +149,21 @@
                "counter",
                "Connections to upstreams that were not made in time.",
                counters.m_connectTimeouts);
+  const EngineSpeed& speeds = m_state->m_upstreams.Speeds();
+  appendSingle("bergamotpaddle_speed_samples_total",
+               "counter",
+               "Responses that told how fast an upstream is.",
+               speeds.Samples());
+  appendSingle("bergamotpaddle_speed_reports_invalid_total",
+               "counter",
+               "Measurements of other routers that were out of range.",
+               speeds.InvalidReports());
+  text.Family("bergamotpaddle_pool_prefill_ratio",
+              "gauge",
+              "Prefill time of a service's engines relative to nominal.");
+  for (const auto& [service, factor] : speeds.PoolPrefillFactors()) {
+    text.Sample(factor, { { "service", service.Str() } });
+  }
   text.Family(
     "bergamotpaddle_bytes_total", "counter", "Payload bytes by far end.");
   for (std::size_t i = 0; i < kTrafficPeerCount; ++i) {
--- a/lib/Forwarding/PeerLink.cpp
+++ b/lib/Forwarding/PeerLink.cpp
@@ -193,6 +193,7 @@
     digest.m_storeContactAgeMs = ToMilliseconds(*age);
   }
   digest.m_quarantine = m_state->m_quarantine.NextReport(aNow);
+  digest.m_speeds = m_state->m_upstreams.NextSpeedReports();
   std::size_t size = digest.Encode().size();
   for (const auto& [id, newParts] : m_schedule.Candidates(aNow)) {
     const UpstreamState* state = m_state->m_upstreams.Find(id);
--- a/lib/Forwarding/UpstreamAttempt.cpp
+++ b/lib/Forwarding/UpstreamAttempt.cpp
@@ -1,5 +1,7 @@
 #include "bergamotpaddle/Forwarding/UpstreamAttempt.h"
 
+#include "bergamotpaddle/Scheduling/SpeedSamples.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -244,6 +246,7 @@
   m_state->m_responses.Complete(m_bufferId);
   if (IsSuccess(m_response.m_status)) {
     NoteBegun();
+    NoteCallSpeed();
   }
   if (m_response.m_status >= kFirstServerError) {
     co_return AttemptStep::kFailed;
@@ -265,7 +268,11 @@
     if (!bytes.empty()) {
       NoteHeard();
     }
-    m_events += m_splitter.Consume(bytes);
+    const std::string events = m_splitter.Consume(bytes);
+    if (!events.empty()) {
+      NoteEventTimes();
+    }
+    m_events += events;
     m_state->m_responses.Resize(m_bufferId, m_splitter.PartialBytes());
     if (m_exchange->GetAbortReason() == AbortReason::kMemory) {
       co_return AttemptStep::kIncomplete;
@@ -291,6 +298,7 @@
     m_errorMessage = "the stream ends within an event";
     co_return AttemptStep::kIncomplete;
   }
+  NoteStreamSpeed();
   co_return AttemptStep::kStreamEnd;
 }
 
@@ -310,6 +318,68 @@
   return IsForOtherAttempt() || isUnsigned || m_response.m_isEncoded;
 }
 
+void
+UpstreamAttempt::NoteEventTimes()
+{
+  const Instant now = m_state->Now();
+  m_lastEventAt = now;
+  if (m_firstEventAt) {
+    m_laterEvents += m_splitter.Events();
+    return;
+  }
+  m_firstEventAt = now;
+  const UpstreamState* upstream = m_state->m_upstreams.Find(Upstream());
+  if (upstream == nullptr || m_request.m_isResumed) {
+    return;
+  }
+  if (const auto ratio =
+        PrefillSample(Choice(),
+                      upstream->m_entry.m_slots,
+                      now - *m_sentAt,
+                      m_state->m_upstreams.Slowness(*upstream, now))) {
+    m_state->m_upstreams.NoteSpeed(Upstream(), SpeedKind::kPrefill, *ratio);
+  }
+}
+
+void
+UpstreamAttempt::NoteStreamSpeed()
+{
+  const UpstreamState* upstream = m_state->m_upstreams.Find(Upstream());
+  if (upstream == nullptr || !m_firstEventAt || !m_state->m_routes) {
+    return;
+  }
+  const Service* service =
+    m_state->m_routes->FindService(upstream->m_entry.m_service);
+  if (service == nullptr) {
+    return;
+  }
+  if (const auto ratio =
+        StepSample(Choice(),
+                   upstream->m_entry.m_slots,
+                   m_laterEvents * service->m_tokensPerEvent,
+                   m_lastEventAt - *m_firstEventAt,
+                   m_state->m_placement.Options().m_tokenTime)) {
+    m_state->m_upstreams.NoteSpeed(Upstream(), SpeedKind::kStep, *ratio);
+  }
+}
+
+void
+UpstreamAttempt::NoteCallSpeed()
+{
+  const UpstreamState* upstream = m_state->m_upstreams.Find(Upstream());
+  if (upstream == nullptr || m_request.m_isStream) {
+    return;
+  }
+  const Instant now = m_state->Now();
+  if (const auto ratio =
+        CallSample(Choice(),
+                   upstream->m_entry.m_slots,
+                   now - *m_sentAt,
+                   m_state->m_upstreams.Slowness(*upstream, now))) {
+    m_state->m_upstreams.NoteSpeed(Upstream(), SpeedKind::kStep, *ratio);
+  }
+}
+
 void
 UpstreamAttempt::OnEvicted()
 {
--- a/lib/Gateway/PeerDigest.cpp
+++ b/lib/Gateway/PeerDigest.cpp
@@ -97,6 +97,7 @@
     }
     aView.NotePeerParts(*id, upstream.m_newParts, aNow);
   }
+  aView.NotePeerSpeeds(aDigest.m_senderIncarnation, aDigest.m_speeds);
 }
 
 } // namespace bergamotpaddle
--- a/lib/Scheduling/Placement.cpp
+++ b/lib/Scheduling/Placement.cpp
@@ -170,13 +170,14 @@
   choice.m_upstream = aState.m_entry.m_id;
   choice.m_uncachedTokens =
     aView.UncachedTokens(aState, aRequest.m_parts, aNow);
-  choice.m_prefill =
+  choice.m_nominalPrefill =
     PrefillTime(choice.m_uncachedTokens, TotalTokens(aRequest.m_parts));
+  choice.m_prefill = Scale(choice.m_nominalPrefill, aState.m_speed.m_prefill);
+  choice.m_backlog = aView.PrefillBacklog(aState, aNow);
   choice.m_requests = aView.Requests(aState, aNow);
   choice.m_isLight = !IsHeavy(aRequest);
   choice.m_expected =
-    Scale(aView.PrefillBacklog(aState, aNow) + choice.m_prefill,
-          aView.Slowness(aState, aNow));
+    Scale(choice.m_backlog + choice.m_prefill, aView.Slowness(aState, aNow));
   return choice;
 }
 
@@ -187,12 +188,13 @@
                 Instant aNow) const
 {
   const UpstreamState& state = *aCandidate.m_state;
-  Duration cost =
-    Scale(aView.PrefillBacklog(state, aNow), m_options.m_backlogWeight) +
-    aChoice.m_prefill * m_options.m_prefillWeight +
-    m_options.m_requestPenalty * aChoice.m_requests;
-  cost =
-    Scale(cost + std::chrono::milliseconds(10), aView.Slowness(state, aNow));
+  const Duration requests =
+    Scale(m_options.m_requestPenalty * aChoice.m_requests +
+            std::chrono::milliseconds(10),
+          state.m_speed.m_relative);
+  Duration cost = Scale(aChoice.m_backlog, m_options.m_backlogWeight) +
+                  aChoice.m_prefill * m_options.m_prefillWeight + requests;
+  cost = Scale(cost, aView.Slowness(state, aNow));
   if (aCandidate.m_isCrossPartition) {
     cost += m_options.m_crossPartitionPenalty;
   }
--- a/lib/Scheduling/UpstreamView.cpp
+++ b/lib/Scheduling/UpstreamView.cpp
@@ -39,6 +39,9 @@
   }
   state.m_entry = aEntry;
   state.m_hash = PlacementHash(aEntry.m_id.Str());
+  m_speeds.Upsert(
+    ShortHash(aEntry.m_id), aEntry.m_service, aEntry.m_startedAtMs);
+  RefreshSpeeds();
 }
 
 void
@@ -46,6 +49,7 @@
 {
   m_upstreams.erase(aId);
   m_idByShortHash.erase(ShortHash(aId));
+  m_speeds.Remove(ShortHash(aId));
 }
 
 std::uint32_t
@@ -207,6 +211,33 @@
   }
 }
 
+void
+UpstreamView::NoteSpeed(const UpstreamId& aId, SpeedKind aKind, double aRatio)
+{
+  m_speeds.Note(ShortHash(aId), aKind, aRatio);
+  RefreshSpeeds();
+}
+
+void
+UpstreamView::NotePeerSpeeds(const std::string& aPeer,
+                             const std::vector<SpeedReport>& aReports)
+{
+  m_speeds.Apply(aPeer, aReports);
+  RefreshSpeeds();
+}
+
+void
+UpstreamView::RefreshSpeeds()
+{
+  for (const std::uint32_t hash : m_speeds.TakeChanged()) {
+    if (const std::optional<UpstreamId> id = FindByShortHash(hash)) {
+      if (UpstreamState* state = Find(*id)) {
+        state->m_speed = m_speeds.Factors(hash);
+      }
+    }
+  }
+}
+
 int
 UpstreamView::Requests(const UpstreamState& aState, Instant aNow) const
 {
