Leave the zone only as far as it pays (ZoneOverflow)

Cause: an upstream in another zone cost a constant 2 ms, whatever the bytes, the load there and the room that the other zone needs itself. Change: with a price for a kilobyte between zones (--zone_ms_per_kb, off by default) each router decides per service which share of its requests may leave; prompts whose shared parts take longer to prefill than the body takes across stay shared by all zones.

--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -63,7 +63,9 @@
   LatencyHistogram m_firstEventTime;    ///< From a request to its first event.
   LatencyHistogram m_requestTime; ///< From a request to the response's end.
   LatencyHistogram m_connectTime; ///< Of connections made to upstreams.
-  std::uint64_t m_connectTimeouts = 0; ///< Of connections to upstreams.
+  std::uint64_t m_connectTimeouts = 0;   ///< Of connections to upstreams.
+  std::uint64_t m_otherZoneRequests = 0; ///< Sent to upstreams there.
+  std::uint64_t m_otherZoneBytes = 0;    ///< To and from upstreams there.
   /// Requests, some of them still being read, whose connections the forced end
   /// of a shutdown closed.
   std::uint64_t m_requestsCut = 0;
@@ -167,6 +169,8 @@
   void Log(const LogLine& aLine, bool aIsVital = false);
   /// Logs what changed in m_quarantine since the last call.
   void LogQuarantineChanges();
+  /// Logs how the shares of requests that leave the zone have changed.
+  void LogOverflowChanges();
 
   WireDialect m_dialect;
   ForwardingOptions m_options;
--- a/include/bergamotpaddle/Scheduling/Placement.h
+++ b/include/bergamotpaddle/Scheduling/Placement.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "bergamotpaddle/Scheduling/UpstreamView.h"
+#include "bergamotpaddle/Scheduling/ZoneOverflow.h"
 
 #include <set>
 #include <string>
@@ -31,6 +32,7 @@
   /// request; 0: no limit.
   Duration m_firstEventTimeout{ 0 };
   std::set<UpstreamId> m_excluded; ///< Not to be chosen.
+  std::uint64_t m_bytes = 0;       ///< Size of its body.
 };
 
 /// The chosen upstream and the figures behind the choice, for the log.
@@ -43,7 +45,8 @@
   Duration m_backlog{ 0 };        ///< Estimated prefill time ahead of it.
   Duration m_expected{ 0 };       ///< Estimated wait for the first byte.
   bool m_isLight = false;
-  int m_requests = 0; ///< In flight there.
+  bool m_isOtherZone = false; ///< Than the router's.
+  int m_requests = 0;         ///< In flight there.
 };
 
 /// The result: an upstream, or the reason why there is none.
@@ -94,7 +97,9 @@
   int m_prefillWeight = 3;
   /// Cost of an upstream that is being avoided after failures, as time.
   Duration m_avoidedPenalty = std::chrono::seconds(5);
-  /// Cost of an upstream in another availability zone, as time.
+  ZoneOverflowOptions m_overflow;
+  /// Cost of an upstream in another availability zone, as time, if
+  /// `m_overflow` sets no price.
   Duration m_crossZonePenalty = std::chrono::milliseconds(2);
   /// Maximum number of requests queued at an upstream beyond its slots, as a
   /// fraction of the slots.
@@ -127,6 +132,7 @@
   Duration PrefillTime(std::uint32_t aUncached, std::uint32_t aTotal) const;
 
   const PlacementOptions& Options() const { return m_options; }
+  ZoneOverflow& Overflow() { return m_overflow; }
 
   /// Whether the request's prefill would delay running streams noticeably.
   bool IsHeavy(const PlacementRequest& aRequest) const;
@@ -136,6 +142,7 @@
   {
     const UpstreamState* m_state = nullptr;
     bool m_isCrossPartition = false; ///< Outside the request's partition.
+    bool m_isOverflow = false; ///< In another zone, for want of better ones.
   };
 
   std::vector<Candidate> EngineCandidates(
@@ -149,8 +156,21 @@
                            Instant aNow) const;
   Duration Cost(const UpstreamView& aView,
                 const PlacementChoice& aChoice,
+                const PlacementRequest& aRequest,
                 const Candidate& aCandidate,
                 Instant aNow) const;
+  bool IsOtherZone(const UpstreamState& aState) const;
+  /// Whether the shared parts of the prompt take longer to prefill than the
+  /// prompt takes to another zone: they are then prefilled once for all zones.
+  bool IsSharedByZones(const PlacementRequest& aRequest) const;
+  void UpdateOverflow(const UpstreamView& aView,
+                      const PlacementRequest& aRequest,
+                      const std::vector<const UpstreamState*>& aUsable,
+                      Instant aNow);
+  /// Marks candidates in other zones that are to be used only if there is none
+  /// in this zone.
+  void MarkOverflow(const PlacementRequest& aRequest,
+                    std::vector<Candidate>& aCandidates);
 
   /// The partition of a pool into light and heavy upstreams.
   struct Partition
@@ -161,6 +181,7 @@
 
   PlacementOptions m_options;
   std::map<ServiceId, Partition> m_partitions;
+  ZoneOverflow m_overflow;
 };
 
 } // namespace bergamotpaddle
--- a/lib/Forwarding/GatewayMetrics.cpp
+++ b/lib/Forwarding/GatewayMetrics.cpp
@@ -149,6 +149,21 @@
                "counter",
                "Connections to upstreams that were not made in time.",
                counters.m_connectTimeouts);
+  appendSingle("bergamotpaddle_other_zone_requests_total",
+               "counter",
+               "Requests sent to upstreams in other zones.",
+               counters.m_otherZoneRequests);
+  appendSingle("bergamotpaddle_other_zone_bytes_total",
+               "counter",
+               "Payload bytes to and from upstreams in other zones.",
+               counters.m_otherZoneBytes);
+  text.Family("bergamotpaddle_zone_overflow_ratio",
+              "gauge",
+              "Share of a service's requests that leave the zone.");
+  for (const auto& [service, share] :
+       m_state->m_placement.Overflow().Shares()) {
+    text.Sample(share, { { "service", service.Str() } });
+  }
   const EngineSpeed& speeds = m_state->m_upstreams.Speeds();
   appendSingle("bergamotpaddle_speed_samples_total",
                "counter",
--- a/lib/Forwarding/GatewayState.cpp
+++ b/lib/Forwarding/GatewayState.cpp
@@ -110,4 +110,19 @@
   }
 }
 
+void
+GatewayState::LogOverflowChanges()
+{
+  constexpr double kPercent = 100;
+  for (const OverflowChange& change : m_placement.Overflow().TakeChanges()) {
+    Log(
+      LogLine("zone.overflow")
+        .Text("service", change.m_service.Str())
+        .Number("percent", static_cast<std::int64_t>(change.m_share * kPercent))
+        .Milliseconds("home_wait_ms", change.m_homeWait)
+        .Text("zone", change.m_bestZone)
+        .Milliseconds("wait_ms", change.m_bestWait));
+  }
+}
+
 } // namespace bergamotpaddle
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -110,6 +110,7 @@
   request.m_parts = m_request.m_parts;
   request.m_timeLeft = m_deadline - aNow;
   request.m_excluded = m_progress->Tried();
+  request.m_bytes = m_body->size();
   if (m_route->m_kind == CallKind::kStream) {
     request.m_firstEventTimeout = std::max(
       m_state->m_options.m_minCallerStreamTimeout, m_route->m_objective * 4);
@@ -123,6 +124,7 @@
   const Instant now = m_state->Now();
   PlacementResult result = m_state->m_placement.Choose(
     m_state->m_upstreams, MakePlacementRequest(now), now);
+  m_state->LogOverflowChanges();
   if (result.m_verdict == PlacementResult::Verdict::kPlaced) {
     return std::move(result.m_choice);
   }
--- a/lib/Forwarding/UpstreamAttempt.cpp
+++ b/lib/Forwarding/UpstreamAttempt.cpp
@@ -165,6 +165,10 @@
   const Instant now = m_state->Now();
   m_state->m_counters.m_connectTime.Record(now - m_startedAt);
   m_state->m_adaptiveConnectTimeout.NoteConnected(now - m_startedAt);
+  if (const UpstreamState* upstream = m_state->m_upstreams.Find(Upstream())) {
+    m_state->m_placement.Overflow().NoteConnectTime(upstream->m_entry.m_zone,
+                                                    now - m_startedAt);
+  }
   m_sentAt = now;
   m_heardAt = now;
   m_exchange->BeginSending(m_writeHead(*this), m_request.m_body);
@@ -423,6 +427,16 @@
   m_state->m_counters.m_traffic.Record(TrafficPeer::kUpstreams,
                                        m_exchange->Bytes().m_sent,
                                        m_exchange->Bytes().m_received);
+  if (Choice().m_isOtherZone) {
+    m_state->m_counters.m_otherZoneRequests += m_sentAt ? 1 : 0;
+    m_state->m_counters.m_otherZoneBytes +=
+      m_exchange->Bytes().m_sent + m_exchange->Bytes().m_received;
+  }
+  const UpstreamState* upstream = m_state->m_upstreams.Find(Upstream());
+  if (upstream != nullptr && m_hasBegun) {
+    m_state->m_placement.Overflow().NoteResponseBytes(
+      upstream->m_entry.m_service, m_exchange->Bytes().m_received);
+  }
   m_state->m_upstreams.NoteEnded(Upstream(), IsLightStream());
   m_state->m_onLoadChanged(Upstream(), {});
 }
--- a/lib/Scheduling/Placement.cpp
+++ b/lib/Scheduling/Placement.cpp
@@ -1,6 +1,7 @@
 #include "bergamotpaddle/Scheduling/Placement.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace bergamotpaddle {
@@ -35,6 +36,30 @@
   return tokens;
 }
 
+/// Number of engines outside a request's partition that are compared for it.
+constexpr std::size_t kFallbackCandidates = 2;
+
+/// Reorders \p aPool so that each of its beginnings has about equally many
+/// upstreams of each zone; within a zone the order stays.
+void
+InterleaveZones(std::vector<const UpstreamState*>& aPool)
+{
+  std::map<std::string, std::size_t> counts;
+  std::vector<std::pair<std::size_t, const UpstreamState*>> ranked;
+  ranked.reserve(aPool.size());
+  for (const UpstreamState* state : aPool) {
+    ranked.emplace_back(counts[state->m_entry.m_zone]++, state);
+  }
+  std::stable_sort(
+    ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first < aRight.first;
+    });
+  std::transform(ranked.begin(),
+                 ranked.end(),
+                 aPool.begin(),
+                 [](const auto& aRanked) { return aRanked.second; });
+}
+
 /// Returns the id of the last prompt part that other requests may share. The
 /// final part belongs to this request alone; it is used if there is no other.
 std::uint64_t
@@ -50,6 +75,7 @@
 
 Placement::Placement(PlacementOptions aOptions)
   : m_options(std::move(aOptions))
+  , m_overflow(m_options.m_zone, m_options.m_overflow)
 {
 }
 
@@ -120,6 +146,9 @@
     pool.begin(), pool.end(), [](const auto* aLeft, const auto* aRight) {
       return aLeft->m_hash < aRight->m_hash;
     });
+  if (m_overflow.IsEnabled()) {
+    InterleaveZones(pool);
+  }
   const std::size_t lightSize =
     LightPartitionSize(aView, aRequest.m_service, pool, aNow);
   const bool isHeavy = IsHeavy(aRequest);
@@ -145,17 +174,26 @@
   };
   std::sort(preferred.begin(), preferred.end(), byWeight);
   std::sort(fallback.begin(), fallback.end(), byWeight);
+  // A prompt that stays in its zone is ranked among the zone's engines.
+  const bool isByZone = m_overflow.IsEnabled() && !IsSharedByZones(aRequest);
   std::vector<Candidate> candidates;
-  for (std::size_t i = 0; i < preferred.size(); ++i) {
+  std::array<std::size_t, 2> preferredCounts{};
+  for (const Ranked& ranked : preferred) {
+    const UpstreamState& state = *ranked.m_candidate.m_state;
     // A light request may use any engine of its partition: its prefill is cheap
     // even if nothing is cached there.
-    if (i < m_options.m_preferredCandidates || !isHeavy ||
-        preferred[i].m_candidate.m_state->m_avoidUntil > aNow) {
-      candidates.push_back(preferred[i].m_candidate);
+    if (preferredCounts.at(isByZone && IsOtherZone(state) ? 1 : 0)++ <
+          m_options.m_preferredCandidates ||
+        !isHeavy || state.m_avoidUntil > aNow) {
+      candidates.push_back(ranked.m_candidate);
     }
   }
-  for (std::size_t i = 0; i < std::min<std::size_t>(fallback.size(), 2); ++i) {
-    candidates.push_back(fallback[i].m_candidate);
+  std::array<std::size_t, 2> fallbackCounts{};
+  for (const Ranked& ranked : fallback) {
+    const bool isOther = isByZone && IsOtherZone(*ranked.m_candidate.m_state);
+    if (fallbackCounts.at(isOther ? 1 : 0)++ < kFallbackCandidates) {
+      candidates.push_back(ranked.m_candidate);
+    }
   }
   return candidates;
 }
@@ -176,6 +214,7 @@
   choice.m_backlog = aView.PrefillBacklog(aState, aNow);
   choice.m_requests = aView.Requests(aState, aNow);
   choice.m_isLight = !IsHeavy(aRequest);
+  choice.m_isOtherZone = IsOtherZone(aState);
   choice.m_expected =
     Scale(choice.m_backlog + choice.m_prefill, aView.Slowness(aState, aNow));
   return choice;
@@ -184,6 +223,7 @@
 Duration
 Placement::Cost(const UpstreamView& aView,
                 const PlacementChoice& aChoice,
+                const PlacementRequest& aRequest,
                 const Candidate& aCandidate,
                 Instant aNow) const
 {
@@ -201,12 +241,81 @@
   if (state.m_avoidUntil > aNow) {
     cost += m_options.m_avoidedPenalty;
   }
-  if (state.m_entry.m_zone != m_options.m_zone) {
-    cost += m_options.m_crossZonePenalty;
+  if (IsOtherZone(state)) {
+    cost += m_overflow.IsEnabled()
+              ? m_overflow.CrossingCost(
+                  aRequest.m_service, state.m_entry.m_zone, aRequest.m_bytes)
+              : m_options.m_crossZonePenalty;
   }
   return cost;
 }
 
+bool
+Placement::IsOtherZone(const UpstreamState& aState) const
+{
+  return aState.m_entry.m_zone != m_options.m_zone;
+}
+
+bool
+Placement::IsSharedByZones(const PlacementRequest& aRequest) const
+{
+  if (aRequest.m_parts.size() < 2) {
+    return false;
+  }
+  const std::uint32_t shared =
+    TotalTokens(aRequest.m_parts) - aRequest.m_parts.back().m_tokens;
+  // By the nominal speed and the initial round trip, so that all routers agree.
+  const Duration crossing(
+    static_cast<Duration::rep>(static_cast<double>(aRequest.m_bytes) *
+                               m_options.m_overflow.m_msPerKilobyte));
+  return PrefillTime(shared, shared) >
+         crossing + m_options.m_overflow.m_initialRoundTrip;
+}
+
+void
+Placement::UpdateOverflow(const UpstreamView& aView,
+                          const PlacementRequest& aRequest,
+                          const std::vector<const UpstreamState*>& aUsable,
+                          Instant aNow)
+{
+  std::map<std::string, ZoneLoad> loads;
+  std::map<std::string, std::pair<double, double>> requestsAndSlots;
+  for (const UpstreamState* state : aUsable) {
+    if (state->m_avoidUntil > aNow) {
+      continue;
+    }
+    ZoneLoad& load = loads[state->m_entry.m_zone];
+    const int requests = aView.Requests(*state, aNow);
+    ++load.m_upstreams;
+    load.m_wait += Scale(
+      aView.PrefillBacklog(*state, aNow) +
+        Scale(m_options.m_requestPenalty * requests, state->m_speed.m_relative),
+      aView.Slowness(*state, aNow));
+    auto& [zoneRequests, zoneSlots] = requestsAndSlots[state->m_entry.m_zone];
+    zoneRequests += requests;
+    zoneSlots += state->m_entry.m_slots;
+  }
+  for (auto& [zone, load] : loads) {
+    load.m_wait /= static_cast<Duration::rep>(load.m_upstreams);
+    const auto& [requests, slots] = requestsAndSlots[zone];
+    load.m_utilization = slots > 0 ? requests / slots : 1;
+  }
+  m_overflow.Update(aRequest.m_service, loads, aRequest.m_bytes, aNow);
+}
+
+void
+Placement::MarkOverflow(const PlacementRequest& aRequest,
+                        std::vector<Candidate>& aCandidates)
+{
+  const bool mayLeave = IsSharedByZones(aRequest);
+  const std::optional<std::string> target =
+    mayLeave ? std::nullopt : m_overflow.DrawTarget(aRequest.m_service);
+  for (Candidate& candidate : aCandidates) {
+    candidate.m_isOverflow = IsOtherZone(*candidate.m_state) && !mayLeave &&
+                             candidate.m_state->m_entry.m_zone != target;
+  }
+}
+
 PlacementResult
 Placement::Choose(const UpstreamView& aView,
                   const PlacementRequest& aRequest,
@@ -225,27 +334,53 @@
   } else {
     candidates = EngineCandidates(aView, aRequest, usable, aNow);
   }
+  if (m_overflow.IsEnabled()) {
+    if (m_overflow.IsDue(aRequest.m_service, aNow)) {
+      UpdateOverflow(aView, aRequest, usable, aNow);
+    }
+    MarkOverflow(aRequest, candidates);
+  }
   const Duration maxWait =
     aRequest.m_firstEventTimeout.count() > 0
       ? std::min(aRequest.m_firstEventTimeout, aRequest.m_timeLeft)
       : aRequest.m_timeLeft;
   Duration minCost = Duration::max();
   bool hasOverloaded = false;
-  for (const Candidate& candidate : candidates) {
-    const UpstreamEntry& entry = candidate.m_state->m_entry;
+  const auto consider = [&](const Candidate& aCandidate) {
+    const UpstreamEntry& entry = aCandidate.m_state->m_entry;
     const PlacementChoice choice =
-      Estimate(aView, aRequest, *candidate.m_state, aNow);
+      Estimate(aView, aRequest, *aCandidate.m_state, aNow);
     const double capacity = entry.m_slots * (1 + m_options.m_maxQueueRatio);
     if (choice.m_requests >= capacity || choice.m_expected > maxWait) {
       hasOverloaded = true;
-      continue;
+      return;
     }
-    const Duration cost = Cost(aView, choice, candidate, aNow);
+    const Duration cost = Cost(aView, choice, aRequest, aCandidate, aNow);
     if (cost < minCost) {
       minCost = cost;
       result.m_choice = choice;
       result.m_verdict = PlacementResult::Verdict::kPlaced;
     }
+  };
+  bool isAvoided = true; // The upstreams that are not for overflow.
+  bool hasHomeCandidate = false;
+  for (const Candidate& candidate : candidates) {
+    if (!candidate.m_isOverflow) {
+      consider(candidate);
+      hasHomeCandidate = true;
+      isAvoided = isAvoided && candidate.m_state->m_avoidUntil > aNow;
+    }
+  }
+  const bool isRefused = result.m_verdict != PlacementResult::Verdict::kPlaced;
+  if (m_overflow.IsEnabled() && (isAvoided || isRefused)) {
+    const std::optional<std::string> refuge =
+      m_overflow.DrawRefuge(aRequest.m_service);
+    for (const Candidate& candidate : candidates) {
+      if (candidate.m_isOverflow &&
+          (!hasHomeCandidate || candidate.m_state->m_entry.m_zone == refuge)) {
+        consider(candidate);
+      }
+    }
   }
   if (result.m_verdict != PlacementResult::Verdict::kPlaced && hasOverloaded) {
     result.m_verdict = PlacementResult::Verdict::kOverloaded;
