--- a/lib/Scheduling/Placement.cpp
+++ b/lib/Scheduling/Placement.cpp
@@ -228,12 +228,16 @@
                 Instant aNow) const
 {
   const UpstreamState& state = *aCandidate.m_state;
-  const Duration requests =
-    Scale(m_options.m_requestPenalty * aChoice.m_requests +
-            std::chrono::milliseconds(10),
-          state.m_speed.m_relative);
-  Duration cost = Scale(aChoice.m_backlog, m_options.m_backlogWeight) +
-                  aChoice.m_prefill * m_options.m_prefillWeight + requests;
+  // Relative to the pool: the penalties, which are the price of cached prompts
+  // and of partitions, are fixed.
+  const Duration prefill =
+    Scale(Scale(aChoice.m_backlog, m_options.m_backlogWeight) +
+            aChoice.m_prefill * m_options.m_prefillWeight,
+          state.m_speed.m_relative / state.m_speed.m_prefill);
+  Duration cost =
+    prefill + Scale(m_options.m_requestPenalty * aChoice.m_requests +
+                      std::chrono::milliseconds(10),
+                    state.m_speed.m_relative);
   cost = Scale(cost, aView.Slowness(state, aNow));
   if (aCandidate.m_isCrossPartition) {
     cost += m_options.m_crossPartitionPenalty;
