--- a/include/bergamotpaddle/Gateway/PeerDigest.h
+++ b/include/bergamotpaddle/Gateway/PeerDigest.h
@@ -76,7 +76,8 @@
   /// Found leaving within the last few seconds; at most `kMaxLeaving`.
   std::vector<LeavingUpstream> m_leaving;
   static constexpr std::size_t kMaxLeaving = 32;
-  RouterLoad m_load; ///< Of the sender.
+  RouterLoad m_load;                 ///< Of the sender.
+  std::vector<SpeedReport> m_speeds; ///< The sender's own measurements.
   MSGPACK_DEFINE(m_version,
                  m_senderIncarnation,
                  m_storeAgeMs,
@@ -88,7 +89,8 @@
                  m_quarantine,
                  m_storeContactAgeMs,
                  m_leaving,
-                 m_load)
+                 m_load,
+                 m_speeds)
   auto operator<=>(const PeerDigest&) const = default;
 
   /// The sender's report on its replicas.
--- a/include/bergamotpaddle/Scheduling/Placement.h
+++ b/include/bergamotpaddle/Scheduling/Placement.h
@@ -15,6 +15,7 @@
 
 #include "bergamotpaddle/Scheduling/ColdRate.h"
 #include "bergamotpaddle/Scheduling/UpstreamView.h"
+#include "bergamotpaddle/Scheduling/ZoneOverflow.h"
 
 #include <set>
 #include <string>
@@ -33,6 +34,7 @@
   Duration m_firstEventTimeout{ 0 };
   std::set<UpstreamId> m_excluded; ///< Not to be chosen.
   ColdUpstreams m_cold;            ///< Those of the service.
+  std::uint64_t m_bytes = 0;       ///< Size of its body.
 };
 
 /// The chosen upstream and the figures behind the choice, for the log.
@@ -40,10 +42,13 @@
 {
   UpstreamId m_upstream;
   std::uint32_t m_uncachedTokens = 0;
-  Duration m_prefill{ 0 };  ///< Estimated prefill time of this prompt.
-  Duration m_expected{ 0 }; ///< Estimated wait for the first byte.
+  Duration m_prefill{ 0 };        ///< Estimated prefill time of this prompt.
+  Duration m_nominalPrefill{ 0 }; ///< The same at an engine of nominal speed.
+  Duration m_backlog{ 0 };        ///< Estimated prefill time ahead of it.
+  Duration m_expected{ 0 };       ///< Estimated wait for the first byte.
   bool m_isLight = false;
-  int m_requests = 0; ///< In flight there.
+  bool m_isOtherZone = false; ///< Than the router's.
+  int m_requests = 0;         ///< In flight there.
 };
 
 /// The result: an upstream, or the reason why there is none.
@@ -61,7 +66,8 @@
   Duration m_retryAfter{ 0 }; ///< Until capacity may be available again.
 };
 
-/// Parameters of the placement policy. Engine speeds are as specified.
+/// Parameters of the placement policy. Engine speeds are nominal ones, which
+/// apply to a pool until its own are measured.
 struct PlacementOptions
 {
   std::string m_zone; ///< The router's availability zone.
@@ -97,7 +103,9 @@
   /// Cost of a cold upstream, which is slow, as time: as much as callers
   /// notice, below the smallest objective of streams.
   Duration m_coldPenalty = std::chrono::milliseconds(100);
-  /// Cost of an upstream in another availability zone, as time.
+  ZoneOverflowOptions m_overflow;
+  /// Cost of an upstream in another availability zone, as time, if
+  /// `m_overflow` sets no price.
   Duration m_crossZonePenalty = std::chrono::milliseconds(2);
   /// Maximum number of requests queued at an upstream beyond its slots, as a
   /// fraction of the slots.
@@ -129,6 +137,9 @@
   /// \p aUncached aren't cached.
   Duration PrefillTime(std::uint32_t aUncached, std::uint32_t aTotal) const;
 
+  const PlacementOptions& Options() const { return m_options; }
+  ZoneOverflow& Overflow() { return m_overflow; }
+
   /// Whether the request's prefill would delay running streams noticeably.
   bool IsHeavy(const PlacementRequest& aRequest) const;
 
@@ -138,6 +149,7 @@
     const UpstreamState* m_state = nullptr;
     bool m_isCrossPartition = false; ///< Outside the request's partition.
     bool m_isCold = false;
+    bool m_isOverflow = false; ///< In another zone, for want of better ones.
   };
 
   std::vector<Candidate> EngineCandidates(
@@ -151,8 +163,21 @@
                            Instant aNow) const;
   Duration Cost(const UpstreamView& aView,
                 const PlacementChoice& aChoice,
+                const PlacementRequest& aRequest,
                 const Candidate& aCandidate,
                 Instant aNow) const;
+  bool IsOtherZone(const UpstreamState& aState) const;
+  /// Whether the shared parts of the prompt take longer to prefill than the
+  /// prompt takes to another zone: they are then prefilled once for all zones.
+  bool IsSharedByZones(const PlacementRequest& aRequest) const;
+  void UpdateOverflow(const UpstreamView& aView,
+                      const PlacementRequest& aRequest,
+                      const std::vector<const UpstreamState*>& aUsable,
+                      Instant aNow);
+  /// Marks candidates in other zones that are to be used only if there is none
+  /// in this zone.
+  void MarkOverflow(const PlacementRequest& aRequest,
+                    std::vector<Candidate>& aCandidates);
 
   /// The partition of a pool into light and heavy upstreams.
   struct Partition
@@ -163,6 +188,7 @@
 
   PlacementOptions m_options;
   std::map<ServiceId, Partition> m_partitions;
+  ZoneOverflow m_overflow;
 };
 
 } // namespace bergamotpaddle
--- a/lib/Forwarding/GatewayMetrics.cpp
+++ b/lib/Forwarding/GatewayMetrics.cpp
@@ -201,6 +201,36 @@
                "counter",
                "Connections to upstreams that were not made in time.",
                counters.m_connectTimeouts);
+  appendSingle("bergamotpaddle_other_zone_requests_total",
+               "counter",
+               "Requests sent to upstreams in other zones.",
+               counters.m_otherZoneRequests);
+  appendSingle("bergamotpaddle_other_zone_bytes_total",
+               "counter",
+               "Payload bytes to and from upstreams in other zones.",
+               counters.m_otherZoneBytes);
+  text.Family("bergamotpaddle_zone_overflow_ratio",
+              "gauge",
+              "Share of a service's requests that leave the zone.");
+  for (const auto& [service, share] :
+       m_state->m_placement.Overflow().Shares()) {
+    text.Sample(share, { { "service", service.Str() } });
+  }
+  const EngineSpeed& speeds = m_state->m_upstreams.Speeds();
+  appendSingle("bergamotpaddle_speed_samples_total",
+               "counter",
+               "Responses that told how fast an upstream is.",
+               speeds.Samples());
+  appendSingle("bergamotpaddle_speed_reports_invalid_total",
+               "counter",
+               "Measurements of other routers that were out of range.",
+               speeds.InvalidReports());
+  text.Family("bergamotpaddle_pool_prefill_ratio",
+              "gauge",
+              "Prefill time of a service's engines relative to nominal.");
+  for (const auto& [service, factor] : speeds.PoolPrefillFactors()) {
+    text.Sample(factor, { { "service", service.Str() } });
+  }
   text.Family(
     "bergamotpaddle_bytes_total", "counter", "Payload bytes by far end.");
   for (std::size_t i = 0; i < kTrafficPeerCount; ++i) {
--- a/lib/Forwarding/PeerLink.cpp
+++ b/lib/Forwarding/PeerLink.cpp
@@ -202,6 +202,7 @@
     }
   }
   digest.m_load = m_state->m_levelling.Report(aNow);
+  digest.m_speeds = m_state->m_upstreams.NextSpeedReports();
   std::size_t size = digest.Encode().size();
   for (const auto& [id, newParts] : m_schedule.Candidates(aNow)) {
     const UpstreamState* state = m_state->m_upstreams.Find(id);
