--- a/include/bergamotpaddle/Scheduling/Placement.h
+++ b/include/bergamotpaddle/Scheduling/Placement.h
@@ -13,6 +13,7 @@
 /// - Overload: a request that the pool can't serve in time is rejected at once.
 #pragma once
 
+#include "bergamotpaddle/Scheduling/AdmissionQueue.h"
 #include "bergamotpaddle/Scheduling/UpstreamView.h"
 
 #include <set>
@@ -55,7 +56,9 @@
   };
   Verdict m_verdict = Verdict::kNoUpstream;
   PlacementChoice m_choice;
-  Duration m_retryAfter{ 0 }; ///< Until capacity may be available again.
+  /// If overloaded: an upstream would respond in time if it had room.
+  bool m_isFull = false;
+  Duration m_retryAfter{ 0 }; ///< Until an upstream may respond in time again.
 };
 
 /// Parameters of the placement policy. Engine speeds are as specified.
@@ -111,6 +114,12 @@
                          const PlacementRequest& aRequest,
                          Instant aNow);
 
+  /// Returns the load of the pool of \p aService: what its usable upstreams may
+  /// hold by the bound that `Choose` applies, and what they hold.
+  PoolLoad Load(const UpstreamView& aView,
+                const ServiceId& aService,
+                Instant aNow) const;
+
   /// Returns how many of \p aUpstreams, the pool of \p aService, now form its
   /// light partition, and updates the partition.
   std::size_t LightPartitionSize(
@@ -138,6 +147,19 @@
     const PlacementRequest& aRequest,
     const std::vector<const UpstreamState*>& aUsable,
     Instant aNow);
+  /// The upstreams of \p aUsable that aren't among \p aCandidates.
+  static std::vector<Candidate> OtherCandidates(
+    const PlacementRequest& aRequest,
+    const std::vector<const UpstreamState*>& aUsable,
+    const std::vector<Candidate>& aCandidates);
+  /// Sets \p aResult to the best of \p aCandidates, or why none is chosen.
+  void ChooseAmong(const std::vector<Candidate>& aCandidates,
+                   const UpstreamView& aView,
+                   const PlacementRequest& aRequest,
+                   Instant aNow,
+                   PlacementResult& aResult) const;
+  /// Number of requests that an upstream may hold.
+  double Capacity(const UpstreamEntry& aEntry) const;
   PlacementChoice Estimate(const UpstreamView& aView,
                            const PlacementRequest& aRequest,
                            const UpstreamState& aState,
--- a/lib/Scheduling/Placement.cpp
+++ b/lib/Scheduling/Placement.cpp
@@ -205,6 +205,85 @@
   return cost;
 }
 
+double
+Placement::Capacity(const UpstreamEntry& aEntry) const
+{
+  return aEntry.m_slots * (1 + m_options.m_maxQueueRatio);
+}
+
+PoolLoad
+Placement::Load(const UpstreamView& aView,
+                const ServiceId& aService,
+                Instant aNow) const
+{
+  PoolLoad load;
+  for (const UpstreamState* state : aView.Usable(aService)) {
+    const auto capacity = static_cast<int>(std::ceil(Capacity(state->m_entry)));
+    const int requests = aView.Requests(*state, aNow);
+    load.m_capacity += capacity;
+    load.m_requests += requests;
+    load.m_free += std::max(capacity - requests, 0);
+  }
+  return load;
+}
+
+std::vector<Placement::Candidate>
+Placement::OtherCandidates(const PlacementRequest& aRequest,
+                           const std::vector<const UpstreamState*>& aUsable,
+                           const std::vector<Candidate>& aCandidates)
+{
+  std::vector<Candidate> others;
+  for (const UpstreamState* state : aUsable) {
+    const bool isKnown = std::any_of(
+      aCandidates.begin(), aCandidates.end(), [state](const Candidate& aOther) {
+        return aOther.m_state == state;
+      });
+    if (!isKnown && !aRequest.m_excluded.contains(state->m_entry.m_id)) {
+      others.push_back({ state, true });
+    }
+  }
+  return others;
+}
+
+void
+Placement::ChooseAmong(const std::vector<Candidate>& aCandidates,
+                       const UpstreamView& aView,
+                       const PlacementRequest& aRequest,
+                       Instant aNow,
+                       PlacementResult& aResult) const
+{
+  const Duration maxWait =
+    aRequest.m_firstEventTimeout.count() > 0
+      ? std::min(aRequest.m_firstEventTimeout, aRequest.m_timeLeft)
+      : aRequest.m_timeLeft;
+  Duration minCost = Duration::max();
+  for (const Candidate& candidate : aCandidates) {
+    const PlacementChoice choice =
+      Estimate(aView, aRequest, *candidate.m_state, aNow);
+    const bool isFull =
+      choice.m_requests >= Capacity(candidate.m_state->m_entry);
+    const Duration lateBy = choice.m_expected - maxWait;
+    if (aResult.m_verdict != PlacementResult::Verdict::kPlaced &&
+        (isFull || lateBy > Duration(0))) {
+      const bool isFirst =
+        aResult.m_verdict == PlacementResult::Verdict::kNoUpstream;
+      aResult.m_verdict = PlacementResult::Verdict::kOverloaded;
+      aResult.m_isFull = aResult.m_isFull || lateBy <= Duration(0);
+      const Duration until = std::max(lateBy, Duration(0));
+      aResult.m_retryAfter =
+        isFirst ? until : std::min(aResult.m_retryAfter, until);
+    }
+    if (isFull || lateBy > Duration(0)) {
+      continue;
+    }
+    const Duration cost = Cost(aView, choice, candidate, aNow);
+    if (cost < minCost) {
+      minCost = cost;
+      aResult = { PlacementResult::Verdict::kPlaced, choice, false, {} };
+    }
+  }
+}
+
 PlacementResult
 Placement::Choose(const UpstreamView& aView,
                   const PlacementRequest& aRequest,
@@ -223,31 +302,15 @@
   } else {
     candidates = EngineCandidates(aView, aRequest, usable, aNow);
   }
-  const Duration maxWait =
-    aRequest.m_firstEventTimeout.count() > 0
-      ? std::min(aRequest.m_firstEventTimeout, aRequest.m_timeLeft)
-      : aRequest.m_timeLeft;
-  Duration minCost = Duration::max();
-  bool hasOverloaded = false;
-  for (const Candidate& candidate : candidates) {
-    const UpstreamEntry& entry = candidate.m_state->m_entry;
-    const PlacementChoice choice =
-      Estimate(aView, aRequest, *candidate.m_state, aNow);
-    const double capacity = entry.m_slots * (1 + m_options.m_maxQueueRatio);
-    if (choice.m_requests >= capacity || choice.m_expected > maxWait) {
-      hasOverloaded = true;
-      continue;
-    }
-    const Duration cost = Cost(aView, choice, candidate, aNow);
-    if (cost < minCost) {
-      minCost = cost;
-      result.m_choice = choice;
-      result.m_verdict = PlacementResult::Verdict::kPlaced;
-    }
-  }
-  if (result.m_verdict != PlacementResult::Verdict::kPlaced && hasOverloaded) {
-    result.m_verdict = PlacementResult::Verdict::kOverloaded;
-    result.m_retryAfter = std::chrono::milliseconds(300);
+  ChooseAmong(candidates, aView, aRequest, aNow, result);
+  if (result.m_verdict == PlacementResult::Verdict::kOverloaded) {
+    // Requests with a popular prefix may overload the few engines that hold it
+    // while others have room.
+    ChooseAmong(OtherCandidates(aRequest, usable, candidates),
+                aView,
+                aRequest,
+                aNow,
+                result);
   }
   return result;
 }
--- a/unittests/Scheduling/PlacementTest.cpp
+++ b/unittests/Scheduling/PlacementTest.cpp
@@ -214,3 +214,33 @@
           PlacementResult::Verdict::kNoUpstream);
   }
 }
+
+// Regression: a burst with one prefix was refused while most engines were idle.
+TEST_CASE("placement of a burst whose preferred engines are overloaded",
+          "[placement]")
+{
+  UpstreamView view;
+  AddEngines(view);
+  Placement placement({});
+  const PlacementRequest popular = Prompt(7, 12000);
+  std::set<UpstreamId> preferred;
+  for (int i = 0; i < 400; ++i) {
+    preferred.insert(Place(placement, view, popular, 0));
+  }
+  CHECK(preferred.size() > 5);
+
+  SECTION("reports a full pool when no upstream has a place")
+  {
+    for (const auto& [id, state] : view.All()) {
+      view.NotePeerLoad("peer", id, { 64, 0, {} }, AtMs(5000));
+    }
+    const PlacementResult result =
+      placement.Choose(view, Prompt(8, 100), AtMs(5000));
+    CHECK(result.m_verdict == PlacementResult::Verdict::kOverloaded);
+    CHECK(result.m_isFull);
+    const PoolLoad load = placement.Load(view, kPool, AtMs(5000));
+    CHECK(load.m_capacity == kEngines * 64);
+    CHECK(load.m_free == 0);
+    CHECK(load.m_requests >= load.m_capacity);
+  }
+}
