Forwarding: requests wait for room in the admission queue

Change: RequestRun waits through WaitingRoom where all upstreams of a pool are full; own ends and ticks wake it, a disconnect, a stop and a quarantine end the wait. Routers append the waiting requests of each pool to their digests.

--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -5,6 +5,7 @@
 #include "bergamotpaddle/Credit/CreditBook.h"
 #include "bergamotpaddle/Feed/StoreAvailability.h"
 #include "bergamotpaddle/Forwarding/TaskSupervisor.h"
+#include "bergamotpaddle/Forwarding/WaitingRoom.h"
 #include "bergamotpaddle/Forwarding/WireDialect.h"
 #include "bergamotpaddle/Gateway/AdaptiveConnectTimeout.h"
 #include "bergamotpaddle/Gateway/BufferQuota.h"
@@ -173,6 +174,7 @@
   std::shared_ptr<const RouteTable> m_routes; ///< Null until one is known.
   UpstreamView m_upstreams;
   Placement m_placement;
+  WaitingRoom m_waiting;
   PromptQuarantine m_quarantine;
   CreditBook m_credit;
   RetryBudget m_retries;
--- a/include/bergamotpaddle/Forwarding/RequestRun.h
+++ b/include/bergamotpaddle/Forwarding/RequestRun.h
@@ -78,6 +78,15 @@
   /// Chooses the next upstream; nullopt if there is none, with the reason in
   /// m_code and m_errorMessage.
   std::optional<PlacementChoice> ChooseUpstream();
+  /// Like ChooseUpstream, but waits for room if the pool is full and room is
+  /// expected in time.
+  Awaitable<std::optional<PlacementChoice>> AwaitUpstream();
+  /// Waits for room in the queue of the pool.
+  Awaitable<std::optional<PlacementChoice>> AwaitRoom();
+  WaitRequest MakeWaitRequest(Instant aNow) const;
+  /// Sets m_code, m_errorMessage and m_retryAfter of a request that is refused
+  /// since room is expected only after \p aForecast.
+  void NoteNoRoom(Duration aForecast, std::string_view aCause);
   /// Whether to send the request to another upstream after a failure.
   bool ShouldRetry();
   /// Creates an attempt at the upstream of \p aChoice, which is known.
@@ -162,6 +171,12 @@
   /// Why the request was refused for lack of credit, if it was.
   std::optional<CreditShortage> m_creditShortage;
   std::uint64_t m_eventsDelivered = 0;
+  Duration m_queueTime{ 0 };       ///< Spent waiting for room.
+  std::string_view m_queueResult;  ///< Of the last wait; empty without one.
+  bool m_isPoolFull = false;       ///< By the last ChooseUpstream.
+  Duration m_lateBy{ 0 };          ///< The same: until room, by the backlogs.
+  std::function<void()> m_endWait; ///< Set during a wait for room.
+  std::optional<Duration> m_retryAfter; ///< Of a refusal for lack of room.
   bool m_mayHaveRun = false;
   bool m_isPromptTrial = false; ///< Sent despite a quarantined part.
   bool m_isCallerDisconnected = false;
--- a/include/bergamotpaddle/Gateway/PeerDigest.h
+++ b/include/bergamotpaddle/Gateway/PeerDigest.h
@@ -39,6 +39,15 @@
   auto operator<=>(const UpstreamDigest&) const = default;
 };
 
+/// Requests that wait at the sender for room in one pool.
+struct WaitingDigest
+{
+  std::uint32_t m_service = 0; ///< Low bits of the service's `PlacementHash`.
+  std::uint32_t m_waiting = 0;
+  MSGPACK_DEFINE(m_service, m_waiting)
+  auto operator<=>(const WaitingDigest&) const = default;
+};
+
 /// The contents of one datagram.
 struct PeerDigest
 {
@@ -63,6 +72,8 @@
   /// Time since the store last responded to a call that the sender made itself,
   /// not through another router; negative if it never did.
   std::int64_t m_storeContactAgeMs = -1;
+  /// The pools for which requests wait; usually none.
+  std::vector<WaitingDigest> m_waiting;
   MSGPACK_DEFINE(m_version,
                  m_senderIncarnation,
                  m_storeAgeMs,
@@ -72,7 +83,8 @@
                  m_feedChangedRevisions,
                  m_upstreams,
                  m_quarantine,
-                 m_storeContactAgeMs)
+                 m_storeContactAgeMs,
+                 m_waiting)
   auto operator<=>(const PeerDigest&) const = default;
 
   /// The sender's report on its replicas.
--- a/lib/Forwarding/GatewayMetrics.cpp
+++ b/lib/Forwarding/GatewayMetrics.cpp
@@ -75,6 +75,24 @@
     text.Sample(static_cast<double>(counters.m_creditRefusals.at(i)),
                 { { "cause", cause } });
   }
+  const WaitingCounters& waits = m_state->m_waiting.Counters();
+  text.Family("bergamotpaddle_queue_total",
+              "counter",
+              "Requests that found no room at upstreams, by what followed.");
+  const std::array<std::pair<const char*, std::uint64_t>, 5> waitResults = {
+    std::pair("queued", waits.m_queued),
+    std::pair("admitted", waits.m_admitted),
+    std::pair("pushed_out", waits.m_pushedOut),
+    std::pair("caller_left", waits.m_left),
+    std::pair("refused", waits.m_refused)
+  };
+  for (const auto& [result, count] : waitResults) {
+    text.Sample(static_cast<double>(count), { { "result", result } });
+  }
+  appendSingle("bergamotpaddle_queue_length",
+               "gauge",
+               "Requests that wait for room at upstreams.",
+               m_state->m_waiting.Queue().Waiting());
   appendSingle("bergamotpaddle_answers_spoiled_total",
                "counter",
                "Upstreams' answers that were not passed on.",
--- a/lib/Forwarding/GatewayServer.cpp
+++ b/lib/Forwarding/GatewayServer.cpp
@@ -282,6 +282,7 @@
         session.m_run->Tick(now, stall);
       }
     }
+    m_state->m_waiting.Update(now);
     if (now >= logDue) {
       m_state->m_log->Flush();
       logDue = now + kLogInterval;
--- a/lib/Forwarding/GatewayState.cpp
+++ b/lib/Forwarding/GatewayState.cpp
@@ -50,6 +50,7 @@
                            EventLog& aLog)
   : m_dialect(std::move(aDialect))
   , m_placement(std::move(aPlacement))
+  , m_waiting(m_upstreams, m_placement)
   , m_credit(std::move(aSelf), CreditOptions{})
   , m_retries(aRetries)
   , m_log(&aLog)
--- a/lib/Forwarding/PeerLink.cpp
+++ b/lib/Forwarding/PeerLink.cpp
@@ -193,6 +193,7 @@
     digest.m_storeContactAgeMs = ToMilliseconds(*age);
   }
   digest.m_quarantine = m_state->m_quarantine.NextReport(aNow);
+  digest.m_waiting = m_state->m_waiting.Report();
   std::size_t size = digest.Encode().size();
   for (const auto& [id, newParts] : m_schedule.Candidates(aNow)) {
     const UpstreamState* state = m_state->m_upstreams.Find(id);
@@ -274,6 +275,8 @@
       ApplyDigest(*digest, m_state->m_upstreams, m_state->Now());
       m_state->m_quarantine.Apply(digest->m_quarantine, m_state->Now());
       m_state->LogQuarantineChanges();
+      m_state->m_waiting.Apply(
+        digest->m_senderIncarnation, digest->m_waiting, m_state->Now());
       m_onFeedStatus(AddressOf(from), digest->ToFeedStatus());
       if (digest->m_storeContactAgeMs >= 0) {
         m_onStoreContact(
--- a/lib/Forwarding/RequestAdmission.cpp
+++ b/lib/Forwarding/RequestAdmission.cpp
@@ -188,6 +188,8 @@
       return options.m_minQuarantineRetry;
     case ResultCode::kDraining:
       return options.m_retryAfterStop;
+    case ResultCode::kOverloaded:
+      return m_retryAfter.value_or(options.m_retryAfterTransient);
     default:
       return options.m_retryAfterTransient;
   }
--- a/lib/Forwarding/RequestLog.cpp
+++ b/lib/Forwarding/RequestLog.cpp
@@ -91,6 +91,12 @@
   if (m_creditShortage) {
     line.Text("shortage", Describe(*m_creditShortage));
   }
+  if (!m_queueResult.empty()) {
+    line.Text("queue", m_queueResult).Milliseconds("queue_ms", m_queueTime);
+  }
+  if (m_retryAfter) {
+    line.Milliseconds("retry_after_ms", *m_retryAfter);
+  }
   if (!m_errorMessage.empty()) {
     line.Text("why", m_errorMessage);
   }
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -70,6 +70,9 @@
   } else {
     m_caller->WatchForDisconnect([this] {
       m_isCallerDisconnected = true;
+      if (m_endWait) {
+        m_endWait();
+      }
       ForEachAttempt([](UpstreamAttempt& aAttempt) {
         aAttempt.Abort(AbortReason::kCallerDisconnected);
       });
@@ -92,7 +95,7 @@
     if (IsPromptQuarantined() || IsTooLateForStop()) {
       break;
     }
-    const std::optional<PlacementChoice> choice = ChooseUpstream();
+    const std::optional<PlacementChoice> choice = co_await AwaitUpstream();
     if (!choice) {
       break;
     }
@@ -113,6 +116,10 @@
   if (m_route->m_kind == CallKind::kStream) {
     request.m_firstEventTimeout = std::max(
       m_state->m_options.m_minCallerStreamTimeout, m_route->m_objective * 4);
+    if (m_queueTime > Duration(0)) {
+      request.m_firstEventTimeout =
+        std::max(request.m_firstEventTimeout - m_queueTime, Duration(1));
+    }
   }
   return request;
 }
@@ -128,6 +135,8 @@
   }
   const bool isOverloaded =
     result.m_verdict == PlacementResult::Verdict::kOverloaded;
+  m_isPoolFull = result.m_isFull;
+  m_lateBy = result.m_retryAfter;
   m_code = isOverloaded ? ResultCode::kOverloaded : ResultCode::kNoUpstream;
   m_errorMessage = isOverloaded ? "every upstream would answer too late"
                                 : "no upstream takes work now";
--- a/lib/Forwarding/UpstreamAttempt.cpp
+++ b/lib/Forwarding/UpstreamAttempt.cpp
@@ -354,6 +354,12 @@
                                        m_exchange->Bytes().m_sent,
                                        m_exchange->Bytes().m_received);
   m_state->m_upstreams.NoteEnded(Upstream(), IsLightStream());
+  const Instant now = m_state->Now();
+  m_state->m_waiting.NoteEnded(Upstream(),
+                               m_sentAt && IsSuccess(m_response.m_status)
+                                 ? std::optional(now - *m_sentAt)
+                                 : std::nullopt,
+                               now);
   m_state->m_onLoadChanged(Upstream(), {});
 }
 
