--- a/include/bergamotpaddle/Forwarding/GatewayState.h
+++ b/include/bergamotpaddle/Forwarding/GatewayState.h
@@ -5,6 +5,7 @@
 #include "bergamotpaddle/Credit/CreditBook.h"
 #include "bergamotpaddle/Feed/StoreAvailability.h"
 #include "bergamotpaddle/Forwarding/TaskSupervisor.h"
+#include "bergamotpaddle/Forwarding/WaitingRoom.h"
 #include "bergamotpaddle/Forwarding/WireDialect.h"
 #include "bergamotpaddle/Gateway/AdaptiveConnectTimeout.h"
 #include "bergamotpaddle/Gateway/BufferQuota.h"
@@ -203,6 +204,7 @@
   UpstreamView m_upstreams;
   Placement m_placement;
   ColdRate m_coldRate;
+  WaitingRoom m_waiting;
   PromptQuarantine m_quarantine;
   CreditBook m_credit;
   RetryBudget m_retries;
--- a/include/bergamotpaddle/Scheduling/Placement.h
+++ b/include/bergamotpaddle/Scheduling/Placement.h
@@ -13,6 +13,7 @@
 /// - Overload: a request that the pool can't serve in time is rejected at once.
 #pragma once
 
+#include "bergamotpaddle/Scheduling/AdmissionQueue.h"
 #include "bergamotpaddle/Scheduling/ColdRate.h"
 #include "bergamotpaddle/Scheduling/UpstreamView.h"
 #include "bergamotpaddle/Scheduling/ZoneOverflow.h"
@@ -63,7 +64,9 @@
   };
   Verdict m_verdict = Verdict::kNoUpstream;
   PlacementChoice m_choice;
-  Duration m_retryAfter{ 0 }; ///< Until capacity may be available again.
+  /// If overloaded: an upstream would respond in time if it had room.
+  bool m_isFull = false;
+  Duration m_retryAfter{ 0 }; ///< Until an upstream may respond in time again.
 };
 
 /// Parameters of the placement policy. Engine speeds are nominal ones, which
@@ -125,6 +128,12 @@
                          const PlacementRequest& aRequest,
                          Instant aNow);
 
+  /// Returns the load of the pool of \p aService: what its usable upstreams may
+  /// hold by the bound that `Choose` applies, and what they hold.
+  PoolLoad Load(const UpstreamView& aView,
+                const ServiceId& aService,
+                Instant aNow) const;
+
   /// Returns how many of \p aUpstreams, the pool of \p aService, now form its
   /// light partition, and updates the partition.
   std::size_t LightPartitionSize(
@@ -157,6 +166,21 @@
     const PlacementRequest& aRequest,
     const std::vector<const UpstreamState*>& aUsable,
     Instant aNow);
+  /// The upstreams of \p aUsable that aren't among \p aCandidates.
+  static std::vector<Candidate> OtherCandidates(
+    const PlacementRequest& aRequest,
+    const std::vector<const UpstreamState*>& aUsable,
+    const std::vector<Candidate>& aCandidates);
+  /// Sets \p aResult to \p aCandidate if that costs less than \p aMinCost, the
+  /// cost of the one chosen so far; notes why not if none is chosen.
+  void Consider(const Candidate& aCandidate,
+                const UpstreamView& aView,
+                const PlacementRequest& aRequest,
+                Instant aNow,
+                Duration& aMinCost,
+                PlacementResult& aResult) const;
+  /// Number of requests that an upstream may hold.
+  double Capacity(const UpstreamEntry& aEntry) const;
   PlacementChoice Estimate(const UpstreamView& aView,
                            const PlacementRequest& aRequest,
                            const UpstreamState& aState,
--- a/lib/Forwarding/PeerLink.cpp
+++ b/lib/Forwarding/PeerLink.cpp
@@ -203,6 +203,7 @@
   }
   digest.m_load = m_state->m_levelling.Report(aNow);
   digest.m_speeds = m_state->m_upstreams.NextSpeedReports();
+  digest.m_waiting = m_state->m_waiting.Report();
   std::size_t size = digest.Encode().size();
   for (const auto& [id, newParts] : m_schedule.Candidates(aNow)) {
     const UpstreamState* state = m_state->m_upstreams.Find(id);
@@ -303,6 +304,8 @@
       m_state->LogQuarantineChanges();
       m_state->m_levelling.NoteReport(
         AddressOf(from), digest->m_zone, digest->m_load, m_state->Now());
+      m_state->m_waiting.Apply(
+        digest->m_senderIncarnation, digest->m_waiting, m_state->Now());
       m_onFeedStatus(AddressOf(from), digest->ToFeedStatus());
       if (digest->m_storeContactAgeMs >= 0) {
         m_onStoreContact(
--- a/lib/Scheduling/Placement.cpp
+++ b/lib/Scheduling/Placement.cpp
@@ -333,6 +333,85 @@
   }
 }
 
+double
+Placement::Capacity(const UpstreamEntry& aEntry) const
+{
+  return aEntry.m_slots * (1 + m_options.m_maxQueueRatio);
+}
+
+PoolLoad
+Placement::Load(const UpstreamView& aView,
+                const ServiceId& aService,
+                Instant aNow) const
+{
+  PoolLoad load;
+  for (const UpstreamState* state : aView.Usable(aService)) {
+    const auto capacity = static_cast<int>(std::ceil(Capacity(state->m_entry)));
+    const int requests = aView.Requests(*state, aNow);
+    load.m_capacity += capacity;
+    load.m_requests += requests;
+    load.m_free += std::max(capacity - requests, 0);
+  }
+  return load;
+}
+
+std::vector<Placement::Candidate>
+Placement::OtherCandidates(const PlacementRequest& aRequest,
+                           const std::vector<const UpstreamState*>& aUsable,
+                           const std::vector<Candidate>& aCandidates)
+{
+  std::vector<Candidate> others;
+  for (const UpstreamState* state : aUsable) {
+    const bool isKnown = std::any_of(
+      aCandidates.begin(), aCandidates.end(), [state](const Candidate& aOther) {
+        return aOther.m_state == state;
+      });
+    const UpstreamId& id = state->m_entry.m_id;
+    if (!isKnown && !aRequest.m_excluded.contains(id) &&
+        !aRequest.m_cold.m_withheld.contains(id)) {
+      others.push_back({ state, true, aRequest.m_cold.m_open.contains(id) });
+    }
+  }
+  return others;
+}
+
+void
+Placement::Consider(const Candidate& aCandidate,
+                    const UpstreamView& aView,
+                    const PlacementRequest& aRequest,
+                    Instant aNow,
+                    Duration& aMinCost,
+                    PlacementResult& aResult) const
+{
+  const Duration maxWait =
+    aRequest.m_firstEventTimeout.count() > 0
+      ? std::min(aRequest.m_firstEventTimeout, aRequest.m_timeLeft)
+      : aRequest.m_timeLeft;
+  const PlacementChoice choice =
+    Estimate(aView, aRequest, *aCandidate.m_state, aNow);
+  const bool isFull =
+    choice.m_requests >= Capacity(aCandidate.m_state->m_entry);
+  const Duration lateBy = choice.m_expected - maxWait;
+  if (isFull || lateBy > Duration(0)) {
+    if (aResult.m_verdict == PlacementResult::Verdict::kPlaced) {
+      return;
+    }
+    const bool isFirst =
+      aResult.m_verdict == PlacementResult::Verdict::kNoUpstream;
+    const Duration until = std::max(lateBy, Duration(0));
+    aResult.m_verdict = PlacementResult::Verdict::kOverloaded;
+    aResult.m_isFull = aResult.m_isFull || lateBy <= Duration(0);
+    aResult.m_retryAfter =
+      isFirst ? until : std::min(aResult.m_retryAfter, until);
+    return;
+  }
+  const Duration cost = Cost(aView, choice, aRequest, aCandidate, aNow);
+  if (cost < aMinCost) {
+    aMinCost = cost;
+    aResult = { PlacementResult::Verdict::kPlaced, choice, false, {} };
+  }
+}
+
 PlacementResult
 Placement::Choose(const UpstreamView& aView,
                   const PlacementRequest& aRequest,
@@ -340,10 +419,14 @@
 {
   PlacementResult result;
   std::vector<const UpstreamState*> usable = aView.Usable(aRequest.m_service);
-  const std::size_t closed =
-    std::erase_if(usable, [&](const UpstreamState* aState) {
-      return aView.IsClosed(*aState, aNow);
-    });
+  std::optional<Instant> reopening; // Of the first upstream that is closed.
+  std::erase_if(usable, [&](const UpstreamState* aState) {
+    const Instant until = aView.ClosedUntil(*aState);
+    if (until > aNow) {
+      reopening = std::min(reopening.value_or(until), until);
+    }
+    return until > aNow;
+  });
   std::vector<Candidate> candidates;
   if (aRequest.m_parts.empty()) {
     for (const UpstreamState* state : usable) {
@@ -363,27 +446,9 @@
     }
     MarkOverflow(aRequest, candidates);
   }
-  const Duration maxWait =
-    aRequest.m_firstEventTimeout.count() > 0
-      ? std::min(aRequest.m_firstEventTimeout, aRequest.m_timeLeft)
-      : aRequest.m_timeLeft;
   Duration minCost = Duration::max();
-  bool hasOverloaded = closed > 0;
   const auto consider = [&](const Candidate& aCandidate) {
-    const UpstreamEntry& entry = aCandidate.m_state->m_entry;
-    const PlacementChoice choice =
-      Estimate(aView, aRequest, *aCandidate.m_state, aNow);
-    const double capacity = entry.m_slots * (1 + m_options.m_maxQueueRatio);
-    if (choice.m_requests >= capacity || choice.m_expected > maxWait) {
-      hasOverloaded = true;
-      return;
-    }
-    const Duration cost = Cost(aView, choice, aRequest, aCandidate, aNow);
-    if (cost < minCost) {
-      minCost = cost;
-      result.m_choice = choice;
-      result.m_verdict = PlacementResult::Verdict::kPlaced;
-    }
+    Consider(aCandidate, aView, aRequest, aNow, minCost, result);
   };
   bool isAvoided = true; // The upstreams that are not for overflow.
   bool hasHomeCandidate = false;
@@ -404,10 +469,17 @@
         consider(candidate);
       }
     }
+  } else if (result.m_verdict == PlacementResult::Verdict::kOverloaded) {
+    // Requests with a popular prefix may overload the few engines that hold it
+    // while others have room.
+    for (const Candidate& other :
+         OtherCandidates(aRequest, usable, candidates)) {
+      consider(other);
+    }
   }
-  if (result.m_verdict != PlacementResult::Verdict::kPlaced && hasOverloaded) {
+  if (result.m_verdict == PlacementResult::Verdict::kNoUpstream && reopening) {
     result.m_verdict = PlacementResult::Verdict::kOverloaded;
-    result.m_retryAfter = std::chrono::milliseconds(300);
+    result.m_retryAfter = *reopening - aNow;
   }
   if (result.m_verdict == PlacementResult::Verdict::kNoUpstream &&
       !aRequest.m_cold.m_withheld.empty()) {
