--- a/include/bergamotpaddle/Gateway/PeerDigest.h
+++ b/include/bergamotpaddle/Gateway/PeerDigest.h
@@ -49,6 +49,15 @@
   auto operator<=>(const LeavingUpstream&) const = default;
 };
 
+/// Requests that wait at the sender for room in one pool.
+struct WaitingDigest
+{
+  std::uint32_t m_service = 0; ///< Low bits of the service's `PlacementHash`.
+  std::uint32_t m_waiting = 0;
+  MSGPACK_DEFINE(m_service, m_waiting)
+  auto operator<=>(const WaitingDigest&) const = default;
+};
+
 /// The contents of one datagram.
 struct PeerDigest
 {
@@ -78,6 +87,8 @@
   static constexpr std::size_t kMaxLeaving = 32;
   RouterLoad m_load;                 ///< Of the sender.
   std::vector<SpeedReport> m_speeds; ///< The sender's own measurements.
+  /// The pools for which requests wait; usually none.
+  std::vector<WaitingDigest> m_waiting;
   MSGPACK_DEFINE(m_version,
                  m_senderIncarnation,
                  m_storeAgeMs,
@@ -90,7 +101,8 @@
                  m_storeContactAgeMs,
                  m_leaving,
                  m_load,
-                 m_speeds)
+                 m_speeds,
+                 m_waiting)
   auto operator<=>(const PeerDigest&) const = default;
 
   /// The sender's report on its replicas.
--- a/include/bergamotpaddle/Scheduling/UpstreamView.h
+++ b/include/bergamotpaddle/Scheduling/UpstreamView.h
@@ -162,6 +162,8 @@
   bool NotePeerLeaving(const UpstreamIncarnation& aUpstream, Instant aNow);
   /// Whether this incarnation is closed to this router now.
   bool IsClosed(const UpstreamState& aState, Instant aNow) const;
+  /// When this incarnation takes requests of this router again.
+  Instant ClosedUntil(const UpstreamState& aState) const;
   const UpstreamNotices& Notices() const { return m_notices; }
   /// Records the outcome of an exchange; after failures the upstream is
   /// avoided.
--- a/lib/Forwarding/RequestRun.cpp
+++ b/lib/Forwarding/RequestRun.cpp
@@ -70,6 +70,9 @@
   } else {
     m_caller->WatchForDisconnect([this] {
       m_isCallerDisconnected = true;
+      if (m_endWait) {
+        m_endWait();
+      }
       ForEachAttempt([](UpstreamAttempt& aAttempt) {
         aAttempt.Abort(AbortReason::kCallerDisconnected);
       });
@@ -92,9 +95,12 @@
     if (IsPromptQuarantined() || IsTooLateForStop()) {
       break;
     }
-    const std::optional<PlacementChoice> choice =
-      HasFallback() ? std::exchange(m_fallback, std::nullopt)
-                    : ChooseUpstream();
+    std::optional<PlacementChoice> choice;
+    if (HasFallback()) {
+      choice = std::exchange(m_fallback, std::nullopt);
+    } else {
+      choice = co_await AwaitUpstream();
+    }
     if (!choice) {
       break;
     }
@@ -117,6 +123,10 @@
   if (m_route->m_kind == CallKind::kStream) {
     request.m_firstEventTimeout = std::max(
       m_state->m_options.m_minCallerStreamTimeout, m_route->m_objective * 4);
+    if (m_queueTime > Duration(0)) {
+      request.m_firstEventTimeout =
+        std::max(request.m_firstEventTimeout - m_queueTime, Duration(1));
+    }
   }
   return request;
 }
@@ -133,12 +143,16 @@
   }
   if (result.m_verdict == PlacementResult::Verdict::kCold) {
     ++m_state->m_counters.m_coldRefusals;
+    m_isPoolFull = false;
+    m_lateBy = Duration(0);
     m_code = ResultCode::kOverloaded;
     m_errorMessage = "the upstreams that are left are cold";
     return std::nullopt;
   }
   const bool isOverloaded =
     result.m_verdict == PlacementResult::Verdict::kOverloaded;
+  m_isPoolFull = result.m_isFull;
+  m_lateBy = result.m_retryAfter;
   m_code = isOverloaded ? ResultCode::kOverloaded : ResultCode::kNoUpstream;
   m_errorMessage = isOverloaded ? "every upstream would answer too late"
                                 : "no upstream takes work now";
--- a/lib/Scheduling/UpstreamView.cpp
+++ b/lib/Scheduling/UpstreamView.cpp
@@ -133,7 +133,13 @@
 bool
 UpstreamView::IsClosed(const UpstreamState& aState, Instant aNow) const
 {
-  return m_notices.ClosedUntil(IncarnationOf(aState.m_entry)) > aNow;
+  return ClosedUntil(aState) > aNow;
+}
+
+Instant
+UpstreamView::ClosedUntil(const UpstreamState& aState) const
+{
+  return m_notices.ClosedUntil(IncarnationOf(aState.m_entry));
 }
 
 void
