--- a/unittests/Platform/UpstreamNoticeTest.cpp
+++ b/unittests/Platform/UpstreamNoticeTest.cpp
@@ -94,9 +94,21 @@
     CallOften(fixture, 8, Full("Retry-After: 1.5"));
     CHECK(fixture.m_firstUpstream.m_requests.size() == 1);
     CHECK(fixture.m_state.m_counters.m_upstreamClosures == 1);
+    // The other one takes no requests then, so that placement has no choice.
+    UpstreamEntry other =
+      fixture.m_state.m_upstreams.Find(UpstreamId("u2"))->m_entry;
+    other.m_isDraining = true;
+    fixture.m_state.m_upstreams.Upsert(other);
+    fixture.m_firstUpstream.m_scripts = {
+      { GatewayFixture::SealedResponse() }
+    };
+    CHECK(fixture.Call(GatewayFixture::Request("/once/"))
+            .starts_with("HTTP/1.1 503"));
+    CHECK(fixture.m_firstUpstream.m_requests.size() == 1);
     fixture.RunFor(milliseconds(1600));
-    CallOften(fixture, 8, GatewayFixture::SealedResponse());
-    CHECK(fixture.m_firstUpstream.m_requests.size() > 1);
+    CHECK(fixture.Call(GatewayFixture::Request("/once/"))
+            .starts_with("HTTP/1.1 200"));
+    CHECK(fixture.m_firstUpstream.m_requests.size() == 2);
   }
   SECTION("is ignored if the time can't be read")
   {
