review: the scripts end their gateways on SIGTERM

Cause: a script that was ended by SIGTERM left its gateways.

Done: harness_2.py turns the signal into an exception, after which the site is closed.

--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import re
+import signal
 import subprocess
 import sys
 import time
@@ -117,6 +118,11 @@
     """Runs a case: makes the site, plays the coroutine, closes the site; exits with 2 if the case couldn't run."""
     import asyncio
     import traceback
+
+    def stop(_number, _frame):
+        raise KeyboardInterrupt("the script is to end")
+
+    signal.signal(signal.SIGTERM, stop)  # So that the gateways are ended too.
     record = Record(folder)
     record.note("with the disruption" if TROUBLE else "TROUBLE=0: without the disruption")
     try:
