Forwarding: reject responses with a status outside 100 to 599

What callers saw: an upstream in trouble answered 000 with a length of 0, and the bytes of another answer followed on the connection. The caller got these as the answer. Statuses 600 and 999 were passed on as they came.

Cause: UpstreamExchange::ReadHead took every status below 200 for an interim response and skipped it, and nothing checked the upper end of the range. Beast's parser accepts any three digits.

Evidence: InvalidHeadTest plays an upstream with the statuses 000, 001, 099, 600 and 999, with and without a reason, on all kinds of routes.

Fix: CheckResponseHead returns bad_status for a status outside the range of RFC 9110, section 15, so the exchange fails like one with any malformed head: 502, or another upstream where the call may run again. It runs on each head before its status is compared, so no invalid status can count as interim. GatewayFixture::ScriptAttempts replaces two copies of the same script in the tests.

--- /dev/null
+++ b/lib/Forwarding/ResponseHead.cpp
@@ -0,0 +1,27 @@
+#include "bergamotpaddle/Forwarding/ResponseHead.h"
+
+#include <boost/beast/http/error.hpp>
+
+namespace bergamotpaddle {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+// The range of valid statuses: RFC 9110, section 15.
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
+
+} // namespace
+
+boost::system::error_code
+CheckResponseHead(const http::response_header<>& aHead)
+{
+  const unsigned status = aHead.result_int();
+  if (status < kMinStatus || status > kMaxStatus) {
+    return http::error::bad_status;
+  }
+  return {};
+}
+
+} // namespace bergamotpaddle
--- a/lib/Forwarding/UpstreamExchange.cpp
+++ b/lib/Forwarding/UpstreamExchange.cpp
@@ -1,6 +1,7 @@
 #include "bergamotpaddle/Forwarding/UpstreamExchange.h"
 
 #include "bergamotpaddle/Forwarding/Endpoint.h"
+#include "bergamotpaddle/Forwarding/ResponseHead.h"
 #include "bergamotpaddle/Support/Text.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -19,7 +20,6 @@
 
 using ErrorCode = boost::system::error_code;
 
-constexpr int kFirstFinalStatus = 200;
 /// Limit on all response heads of one exchange, interim responses included;
 /// those of upstreams are below 1 KB.
 constexpr std::uint64_t kMaxHeadBytes = 32ULL * 1024;
@@ -118,6 +118,9 @@
     if (!error && m_bytes.m_received > kMaxHeadBytes) {
       error = http::error::header_limit;
     }
+    if (!error) {
+      error = CheckResponseHead(m_parser->get());
+    }
   } while (!error && m_parser->get().result_int() < kFirstFinalStatus);
   if (error) {
     NoteReadError(error);
--- a/unittests/Platform/BrokenStreamTest.cpp
+++ b/unittests/Platform/BrokenStreamTest.cpp
@@ -69,17 +69,7 @@
                  const ScriptedUpstream::Script& aFirst,
                  const ScriptedUpstream::Script& aSecond)
 {
-  aFixture.m_firstUpstream.m_scripts = { aFirst };
-  aFixture.m_secondUpstream.m_scripts = { aFirst };
-  aFixture.m_state.m_onLoadChanged =
-    [&, isFirst = true](const UpstreamId& aId,
-                        const std::vector<PromptPart>&) mutable {
-      if (std::exchange(isFirst, false)) {
-        (aId == UpstreamId("u1") ? aFixture.m_secondUpstream
-                                 : aFixture.m_firstUpstream)
-          .m_scripts = { aSecond };
-      }
-    };
+  aFixture.ScriptAttempts(aFirst, aSecond);
   std::string request = GatewayFixture::Request(aPath);
   request.replace(request.find("HTTP/1.1"), 8, aVersion);
   return aFixture.Call(request);
--- /dev/null
+++ b/unittests/Platform/InvalidHeadTest.cpp
@@ -0,0 +1,65 @@
+/// \file
+/// Tests of upstreams whose responses have an invalid head.
+#include "Loopback.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotpaddle;
+
+namespace {
+
+const std::string kSeal = "Bergamotpaddle-Attempt-Id: {ID}\r\n"
+                          "Bergamotpaddle-Response-Seal: s\r\n";
+const std::string kBody = "Content-Length: 4\r\n\r\nbody";
+
+std::string
+StatusOf(const std::string& aResponse)
+{
+  return aResponse.substr(0, aResponse.find(' ', aResponse.find(' ') + 1));
+}
+
+/// Checks that callers do not get \p aResponse of an upstream.
+void
+CheckIsRejected(const std::string& aResponse)
+{
+  INFO(aResponse);
+  GatewayFixture fixture;
+  REQUIRE(fixture.m_startStatus.ok());
+  const ScriptedUpstream::Script invalid{ aResponse };
+
+  SECTION("gives the caller an error, with every kind of call")
+  {
+    const std::string path =
+      GENERATE(as<std::string>{}, "/once/", "/again/", "/stream/", "/resume/");
+    INFO(path);
+    fixture.m_firstUpstream.m_scripts = { invalid, invalid };
+    fixture.m_secondUpstream.m_scripts = { invalid, invalid };
+    const std::string response = fixture.Call(GatewayFixture::Request(path));
+    CHECK(StatusOf(response) == "HTTP/1.1 502");
+  }
+
+  SECTION("is replaced by another upstream if the call may run again")
+  {
+    fixture.ScriptAttempts(invalid, { GatewayFixture::SealedResponse() });
+    const std::string response =
+      fixture.Call(GatewayFixture::Request("/again/"));
+    CHECK(StatusOf(response) == "HTTP/1.1 200");
+    CHECK(response.ends_with("done"));
+  }
+}
+
+} // namespace
+
+TEST_CASE("an upstream whose status is outside 100 to 599",
+          "[forwarding][broken]")
+{
+  const std::string status =
+    GENERATE(as<std::string>{}, "000", "001", "099", "600", "999");
+  const std::string line =
+    "HTTP/1.1 " + status + GENERATE(as<std::string>{}, " ", " Trouble");
+  // Regression: a status below 100 was skipped like an interim response.
+  const std::string rest =
+    GENERATE(kSeal + kBody,
+             "Content-Length: 0\r\n\r\n" + GatewayFixture::SealedResponse());
+  CheckIsRejected(line + "\r\n" + rest);
+}
--- a/unittests/Platform/Loopback.h
+++ b/unittests/Platform/Loopback.h
@@ -213,6 +213,23 @@
     return response;
   }
 
+  /// Scripts the next request: the upstream that is chosen first sends
+  /// \p aFirst, and the other one \p aSecond.
+  void ScriptAttempts(const ScriptedUpstream::Script& aFirst,
+                      const ScriptedUpstream::Script& aSecond)
+  {
+    m_firstUpstream.m_scripts = { aFirst };
+    m_secondUpstream.m_scripts = { aFirst };
+    m_state.m_onLoadChanged =
+      [this, aSecond, isFirst = true](const UpstreamId& aId,
+                                      const std::vector<PromptPart>&) mutable {
+        if (std::exchange(isFirst, false)) {
+          (aId == UpstreamId("u1") ? m_secondUpstream : m_firstUpstream)
+            .m_scripts = { aSecond };
+        }
+      };
+  }
+
   void RunFor(std::chrono::milliseconds aTime) { m_io.run_for(aTime); }
 
   /// Puts a configuration in force that differs only in its limits.
--- a/unittests/Platform/TruncatedHeadTest.cpp
+++ b/unittests/Platform/TruncatedHeadTest.cpp
@@ -58,18 +58,6 @@
   const bool isReset = GENERATE(false, true);
   INFO("reset " << isReset << ": " << head);
   const ScriptedUpstream::Script cut{ head, false, isReset };
-  // The upstream that is not chosen first gets the other script.
-  const auto replaceOther = [&](const ScriptedUpstream::Script& aScript) {
-    fixture.m_state.m_onLoadChanged =
-      [&, aScript, isFirst = true](const UpstreamId& aId,
-                                   const std::vector<PromptPart>&) mutable {
-        if (std::exchange(isFirst, false)) {
-          (aId == UpstreamId("u1") ? fixture.m_secondUpstream
-                                   : fixture.m_firstUpstream)
-            .m_scripts = { aScript };
-        }
-      };
-  };
 
   SECTION("gives the caller an error, with every kind of call")
   {
@@ -84,9 +72,7 @@
 
   SECTION("is replaced by another upstream if the call may run again")
   {
-    fixture.m_firstUpstream.m_scripts = { cut };
-    fixture.m_secondUpstream.m_scripts = { cut };
-    replaceOther({ GatewayFixture::SealedResponse() });
+    fixture.ScriptAttempts(cut, { GatewayFixture::SealedResponse() });
     const std::string response =
       fixture.Call(GatewayFixture::Request("/again/"));
     CHECK(response.substr(0, 12) == "HTTP/1.1 200");
@@ -97,9 +83,7 @@
   {
     const ScriptedUpstream::Script first{ GatewayFixture::StreamHead() +
                                           GatewayFixture::Chunk(kEvents) };
-    fixture.m_firstUpstream.m_scripts = { first };
-    fixture.m_secondUpstream.m_scripts = { first };
-    replaceOther(cut);
+    fixture.ScriptAttempts(first, cut);
     const std::string response =
       fixture.Call(GatewayFixture::Request("/resume/"));
     CHECK(response.find(kEvents) != std::string::npos);
