--- a/unittests/Platform/InvalidHeadTest.cpp
+++ b/unittests/Platform/InvalidHeadTest.cpp
@@ -63,3 +63,12 @@
              "Content-Length: 0\r\n\r\n" + GatewayFixture::SealedResponse());
   CheckIsRejected(line + "\r\n" + rest);
 }
+
+TEST_CASE(
+  "an upstream that switches protocols although no request asked for it",
+  "[forwarding][broken]")
+{
+  CheckIsRejected("HTTP/1.1 101 Switching Protocols\r\n"
+                  "Connection: upgrade\r\nUpgrade: other\r\n\r\n" +
+                  GatewayFixture::SealedResponse());
+}
