Forwarding: reject responses with a transfer coding other than chunked

What callers saw: an upstream answered with "Transfer-Encoding: gzip" ahead of a length, with "gzip, chunked" or with another coding alone. The caller got the coded bytes, or those that the length covered, as the body of a 200.

Cause: Beast's parser ignores a coding other than a final "chunked", and the router drops the field, as it concerns one connection only. So the body lost its coding, and a length counted that does not hold beside a coding (RFC 9112, sections 6.1 and 6.3).

A length ahead of the coding was refused already.

Fix: CheckResponseHead accepts no coding or a single "chunked". Routers do not forward TE, so an upstream may use no other one.

--- a/include/bergamotpaddle/Forwarding/ResponseHead.h
+++ b/include/bergamotpaddle/Forwarding/ResponseHead.h
@@ -12,7 +12,8 @@
 constexpr unsigned kFirstFinalStatus = 200;
 
 /// Returns the error of \p aHead if it is invalid although the parser accepts
-/// its syntax: `bad_status` for a status outside 100 to 599.
+/// its syntax: `bad_status` for a status outside 100 to 599 or a switch of
+/// protocols, `bad_transfer_encoding` for a coding other than "chunked".
 boost::system::error_code
 CheckResponseHead(const boost::beast::http::response_header<>& aHead);
 
--- a/unittests/Platform/InvalidHeadTest.cpp
+++ b/unittests/Platform/InvalidHeadTest.cpp
@@ -72,3 +72,19 @@
                   "Connection: upgrade\r\nUpgrade: other\r\n\r\n" +
                   GatewayFixture::SealedResponse());
 }
+
+TEST_CASE("an upstream whose transfer coding is not just chunked",
+          "[forwarding][broken]")
+{
+  const std::string coding = GENERATE(as<std::string>{},
+                                      "gzip",
+                                      "gzip, chunked",
+                                      "chunked, gzip",
+                                      "gzip\r\nTransfer-Encoding: chunked",
+                                      "identity",
+                                      "");
+  const std::string framing = GENERATE(
+    as<std::string>{}, "\r\n4\r\nbody\r\n0\r\n\r\n", kBody, "\r\nbody");
+  CheckIsRejected("HTTP/1.1 200 OK\r\n" + kSeal +
+                  "Transfer-Encoding: " + coding + "\r\n" + framing);
+}
