Test of heads with invalid fields: handled already

An upstream in trouble may send a field whose name holds a blank or a control byte; on other systems callers got that as an answer. Not here: Beast's parser refuses such heads, and the exchange fails as malformed.

--- a/unittests/Platform/InvalidHeadTest.cpp
+++ b/unittests/Platform/InvalidHeadTest.cpp
@@ -88,3 +88,49 @@
   CheckIsRejected("HTTP/1.1 200 OK\r\n" + kSeal +
                   "Transfer-Encoding: " + coding + "\r\n" + framing);
 }
+
+TEST_CASE("an upstream whose head has an invalid field", "[forwarding][broken]")
+{
+  using namespace std::string_literals;
+  const std::string line = GENERATE(as<std::string>{},
+                                    "X Y: 1",
+                                    "X\tY: 1",
+                                    "X\x01Y: 1",
+                                    "X\0Y: 1"s,
+                                    "X\x7fY: 1",
+                                    "X\xc3\xa9: 1",
+                                    "X(Y): 1",
+                                    ": 1",
+                                    "X : 1",
+                                    "X\t: 1",
+                                    "Content-Length : 4",
+                                    "Transfer-Encoding : chunked",
+                                    "X",
+                                    "X: a\x01",
+                                    "X: a\0"s,
+                                    "X: a\x7f",
+                                    "X: a\rb",
+                                    "X: 1\nY: 2",
+                                    "Content-Length: +4",
+                                    "Content-Length: 4 4",
+                                    "Content-Length: -1",
+                                    "Content-Length:");
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  const std::string field = line + "\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  CheckIsRejected(GENERATE_COPY(start + field + kSeal + kBody,
+                                start + kSeal + field + kBody,
+                                "HTTP/1.1 103 Early Hints\r\n" + field +
+                                  "\r\n" + GatewayFixture::SealedResponse(),
+                                // In a trailer.
+                                start + kSeal + chunked + "4\r\nbody\r\n0\r\n" +
+                                  field + "\r\n"));
+}
+
+TEST_CASE("an upstream whose head contradicts itself about the length",
+          "[forwarding][broken]")
+{
+  const std::string line = GENERATE(
+    as<std::string>{}, "Content-Length: 5", "Transfer-Encoding: chunked");
+  CheckIsRejected("HTTP/1.1 200 OK\r\n" + kSeal + line + "\r\n" + kBody);
+}
