Net: reject responses whose length is malformed or ambiguous

What callers saw: a service answered with two different lengths, or with one like "2,1", "+2", "0x2", "2x" or more than 64 bits. The caller got as much of the body as libcurl made of it, as a success.

Cause: libcurl parses the digits at the start of a length and ignores the rest, goes by one of several lengths, and drops one that is too large.

Evidence: InvalidResponseHeadTest, "a response with a malformed or ambiguous length is no response", plays 16 heads. A length beside a coding and unknown codings were refused already.

Fix: ResponseHeadCheck parses each length as a whole, fails the call if it is no number or differs from another one of the same head, and accepts no continuation of a field that frames the body, as libcurl has used it by then. Equal lengths, and those of interim responses, still do no harm.

--- a/lib/Net/ResponseHeadCheck.cpp
+++ b/lib/Net/ResponseHeadCheck.cpp
@@ -62,13 +62,14 @@
   }
   if (m_previous == Line::kEmpty && line.starts_with("HTTP/")) {
     m_previous = Line::kStatus; // libcurl has parsed it.
+    m_length.reset();
     return true;
   }
   if (IsBlank(line.front())) {
-    // The line continues the value of a field.
+    // The line continues the value of a field. libcurl has used that of a
+    // framing field already.
     return m_previous == Line::kField && IsFieldValue(line);
   }
-  m_previous = Line::kField;
   return AcceptField(line);
 }
 
@@ -76,8 +77,26 @@
 ResponseHeadCheck::AcceptField(std::string_view aLine)
 {
   const std::size_t colon = aLine.find(':');
-  return colon != std::string_view::npos && IsToken(aLine.substr(0, colon)) &&
-         IsFieldValue(aLine.substr(colon + 1));
+  if (colon == std::string_view::npos) {
+    return false;
+  }
+  const std::string_view name = aLine.substr(0, colon);
+  const std::string_view value = aLine.substr(colon + 1);
+  const bool isLength = EqualsIgnoreCase(name, "Content-Length");
+  m_previous = isLength || EqualsIgnoreCase(name, "Transfer-Encoding")
+                 ? Line::kFramingField
+                 : Line::kField;
+  return IsToken(name) && IsFieldValue(value) &&
+         (!isLength || AcceptLength(value));
+}
+
+bool
+ResponseHeadCheck::AcceptLength(std::string_view aValue)
+{
+  const auto length = ParseNumber<std::uint64_t>(Trim(aValue));
+  const bool isAmbiguous = m_length && m_length != length;
+  m_length = length;
+  return length && !isAmbiguous;
 }
 
 } // namespace bergamotpaddle
--- a/lib/Net/ResponseHeadCheck.h
+++ b/lib/Net/ResponseHeadCheck.h
@@ -2,12 +2,15 @@
 /// Checks of response heads that libcurl leaves to its caller.
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace bergamotpaddle {
 
 /// Checks the heads and trailers of the responses to one call, line by line.
-/// libcurl takes every line with a colon for a field.
+/// libcurl takes every line with a colon for a field, and one of several
+/// lengths, up to its first invalid character.
 class ResponseHeadCheck
 {
 public:
@@ -20,12 +23,15 @@
   {
     kEmpty, ///< None yet, or the end of a head.
     kStatus,
-    kField
+    kField,
+    kFramingField ///< A field that frames the body.
   };
 
   bool AcceptField(std::string_view aLine);
+  bool AcceptLength(std::string_view aValue);
 
   Line m_previous = Line::kEmpty;
+  std::optional<std::uint64_t> m_length; ///< Of the body, from this head.
 };
 
 } // namespace bergamotpaddle
--- a/unittests/Net/InvalidResponseHeadTest.cpp
+++ b/unittests/Net/InvalidResponseHeadTest.cpp
@@ -85,6 +85,41 @@
   CHECK_FALSE(CallServer(kStatusLine + " X: 1\r\n" + kBody).HasResponse());
 }
 
+// Regression: libcurl took one of different lengths, and the digits at the
+// start of a malformed one.
+TEST_CASE("a response with a malformed or ambiguous length is no response",
+          "[net][broken]")
+{
+  const std::string fields =
+    GENERATE(as<std::string>{},
+             "Content-Length: 2\r\nContent-Length: 1\r\n",
+             "Content-Length: 1\r\nContent-Length: 2\r\n",
+             "Content-Length: 2,1\r\n",
+             "Content-Length: +2\r\n",
+             "Content-Length: -2\r\n",
+             "Content-Length: 0x2\r\n",
+             "Content-Length: 2 2\r\n",
+             "Content-Length: 2x\r\n",
+             "Content-Length:\r\n",
+             "Content-Length: 2\r\n 0\r\n",
+             "Content-Length: 99999999999999999999\r\n",
+             "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+             "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+             "Transfer-Encoding: other\r\n",
+             "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n",
+             "Transfer-Encoding: chunked\r\n , gzip\r\n");
+  INFO(fields);
+  const std::string response = kStatusLine + fields + "\r\n{}";
+  CHECK_FALSE(CallServer(response).HasResponse());
+
+  ScriptedServer server({ { response } });
+  Dispatch dispatch = Call();
+  dispatch.m_repeatable = false;
+  const RunResult result = Run(MakeServiceClient, server.Url(), dispatch);
+  CHECK(result.m_outcome.m_code == ResultCode::kOutcomeUnknown);
+  CHECK(result.m_data.empty());
+}
+
 TEST_CASE("a response with an unusual but valid head", "[net][broken]")
 {
   const std::string field = GENERATE(as<std::string>{},
@@ -98,11 +133,17 @@
                                      "X: a\r\n b\r\n",
                                      "X: a\r\n\tb\r\n\t\tc\r\n",
                                      "HTTP: 1\r\n",
+                                     "Content-Length: 2\r\n",
+                                     "content-length:\t2 \r\n",
                                      "X: 1\n");
   INFO(field);
   const std::string interim =
     GENERATE_COPY(as<std::string>{}, "", kInterim + field + "\r\n");
-  const HttpReply reply = CallServer(interim + kStatusLine + field + kBody);
+  // A length counts for the head that has it only.
+  const std::string other =
+    interim.empty() ? "" : kInterim + "Content-Length: 5\r\n\r\n";
+  const HttpReply reply =
+    CallServer(interim + other + kStatusLine + field + kBody);
   CHECK(reply.m_status == 200);
   CHECK(reply.m_body == "{}");
 }
