Test of long calls over libcurl that are reset: handled already

A service may answer a long call at once without a length, send a part of the body and reset the connection while the call is still being sent, as an upstream of a gateway did. Not a fault of HttpClient: libcurl reads and writes a connection in one step and fails the call at the first error.

CutResponseHeadTest plays 20 resets for two sizes and four amounts that the server reads first, none of which leaves a response, and servers that end their response and read on, which are all answered. The early server moves to the folder that both test programs use.

--- a/unittests/Net/CutResponseHeadTest.cpp
+++ b/unittests/Net/CutResponseHeadTest.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Tests of responses whose connection closes within the head, and of those
 /// whose head is whole in an unusual way.
+#include "EarlyServer.h"
 #include "ScriptedServer.h"
 
 #include "bergamotpaddle/Net/HttpClient.h"
@@ -199,6 +200,41 @@
   CHECK_FALSE(reply.m_isUnsent);
 }
 
+TEST_CASE("an unframed response that ends while the call is being sent",
+          "[net][broken]")
+{
+  constexpr int kTries = 20;
+  HttpClient client([](std::function<void()> aTask) { aTask(); });
+  const std::size_t bodySize = GENERATE(3'000'000, 32'000'000);
+  const std::size_t readBytes = GENERATE(0, 50'000, 200'000, 1'000'000);
+  INFO("of " << bodySize << " bytes the server reads " << readBytes);
+  const auto countResponses = [&](EarlyServer::End aEnd, int aTries) {
+    EarlyServer server("HTTP/1.1 200 OK\r\n\r\npart", readBytes, aEnd);
+    int responses = 0;
+    for (int i = 0; i < aTries; ++i) {
+      HttpCall call;
+      call.m_method = "POST";
+      call.m_url = "http://" + server.Address() + "/call";
+      call.m_body.assign(bodySize, 'x');
+      const HttpReply reply = CallAndWait(client, call);
+      responses += reply.HasResponse() ? 1 : 0;
+      CHECK(reply.m_body == (reply.HasResponse() ? "part" : ""));
+    }
+    return responses;
+  };
+
+  SECTION("is no response if the connection is reset")
+  {
+    CHECK(countResponses(EarlyServer::End::kReset, kTries) == 0);
+  }
+
+  SECTION("is a response if the server reads on")
+  {
+    CHECK(countResponses(EarlyServer::End::kReadOn, kTries) == kTries);
+    CHECK(countResponses(EarlyServer::End::kReadLate, 3) == 3);
+  }
+}
+
 TEST_CASE("a response with a whole head is a response", "[net][broken]")
 {
   HttpClient client([](std::function<void()> aTask) { aTask(); });
--- a/unittests/Platform/EarlyUpstream.h
+++ b/unittests/Net/EarlyServer.h
@@ -1,5 +1,5 @@
 /// \file
-/// An upstream that responds while the request is still being sent.
+/// A server that responds while the request is still being sent.
 #pragma once
 
 #include <utility>
@@ -15,8 +15,8 @@
 
 /// Responds on each connection once the first bytes of the request have
 /// arrived, reads on and ends the connection. It runs on a thread of its own,
-/// so that resets arrive at any moment of the router's writes.
-class EarlyUpstream
+/// so that resets arrive at any moment of the client's writes.
+class EarlyServer
 {
 public:
   enum class End
@@ -29,7 +29,7 @@
 
   /// Sends \p aResponse and reads until \p aReadBytes have arrived; on each
   /// connection 1,000 bytes more, so that resets meet different writes.
-  EarlyUpstream(std::string aResponse, std::size_t aReadBytes, End aEnd)
+  EarlyServer(std::string aResponse, std::size_t aReadBytes, End aEnd)
     : m_response(std::move(aResponse))
     , m_readBytes(aReadBytes)
     , m_end(aEnd)
@@ -39,7 +39,7 @@
     , m_thread([this] { Run(); })
   {
   }
-  ~EarlyUpstream()
+  ~EarlyServer()
   {
     m_isStopping = true;
     boost::system::error_code ignored;
@@ -48,8 +48,8 @@
     wakeUp.close(ignored);
     m_thread.join();
   }
-  EarlyUpstream(const EarlyUpstream&) = delete;
-  EarlyUpstream& operator=(const EarlyUpstream&) = delete;
+  EarlyServer(const EarlyServer&) = delete;
+  EarlyServer& operator=(const EarlyServer&) = delete;
 
   const std::string& Address() const { return m_address; }
   /// Bytes of the request that arrived on the last connection.
--- a/unittests/Platform/EarlyResponseTest.cpp
+++ b/unittests/Platform/EarlyResponseTest.cpp
@@ -1,8 +1,8 @@
 /// \file
 /// Tests of responses without a length that end while the caller's long request
 /// is still being sent to the upstream.
-#include "EarlyUpstream.h"
 #include "Loopback.h"
+#include "unittests/Net/EarlyServer.h"
 
 #include <catch2/catch.hpp>
 
@@ -46,8 +46,8 @@
 
   SECTION("gets an error if the upstream resets the connection")
   {
-    EarlyUpstream upstream(
-      kHead + "\r\npart", readBytes, EarlyUpstream::End::kReset);
+    EarlyServer upstream(
+      kHead + "\r\npart", readBytes, EarlyServer::End::kReset);
     for (int i = 0; i < kTries; ++i) {
       const std::string response = call("/once/", upstream.Address());
       CHECK(response.starts_with("HTTP/1.1 502"));
@@ -56,8 +56,8 @@
 
   SECTION("gets no end of a stream that is reset")
   {
-    EarlyUpstream upstream(
-      kStreamHead + "\r\n" + kEvents, readBytes, EarlyUpstream::End::kReset);
+    EarlyServer upstream(
+      kStreamHead + "\r\n" + kEvents, readBytes, EarlyServer::End::kReset);
     for (int i = 0; i < kTries; ++i) {
       const std::string response = call("/stream/", upstream.Address());
       CHECK_FALSE(response.ends_with("0\r\n\r\n"));
@@ -68,12 +68,12 @@
   SECTION("gets the whole answer if the upstream reads on")
   {
     const auto end =
-      GENERATE(EarlyUpstream::End::kReadOn, EarlyUpstream::End::kReadLate);
+      GENERATE(EarlyServer::End::kReadOn, EarlyServer::End::kReadLate);
     const bool isStream = GENERATE(false, true);
-    EarlyUpstream upstream(isStream ? kStreamHead + "\r\n" + kEvents
-                                    : kHead + "\r\nwhole",
-                           readBytes,
-                           end);
+    EarlyServer upstream(isStream ? kStreamHead + "\r\n" + kEvents
+                                  : kHead + "\r\nwhole",
+                         readBytes,
+                         end);
     const std::string response =
       call(isStream ? "/stream/" : "/once/", upstream.Address());
     CHECK(response.starts_with("HTTP/1.1 200"));
--- a/unittests/Platform/UpstreamExchangeTest.cpp
+++ b/unittests/Platform/UpstreamExchangeTest.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Tests of one exchange with an upstream, without a gateway.
-#include "EarlyUpstream.h"
 #include "Loopback.h"
+#include "unittests/Net/EarlyServer.h"
 
 #include "bergamotpaddle/Forwarding/UpstreamExchange.h"
 
@@ -85,8 +85,8 @@
   const std::size_t bodySize = GENERATE(3'000'000, kMoreThanBuffers);
   const std::size_t readBytes = GENERATE(0, 50'000, 200'000, 1'000'000);
   INFO("of " << bodySize << " bytes the upstream reads " << readBytes);
-  const auto countComplete = [&](EarlyUpstream::End aEnd, int aTries) {
-    EarlyUpstream upstream("HTTP/1.1 200 OK\r\n\r\n" + part, readBytes, aEnd);
+  const auto countComplete = [&](EarlyServer::End aEnd, int aTries) {
+    EarlyServer upstream("HTTP/1.1 200 OK\r\n\r\n" + part, readBytes, aEnd);
     int complete = 0;
     for (int i = 0; i < aTries; ++i) {
       asio::io_context io(1);
@@ -105,20 +105,20 @@
   // read then saw was handled first.
   SECTION("is incomplete if the connection is reset")
   {
-    CHECK(countComplete(EarlyUpstream::End::kReset, kTries) == 0);
+    CHECK(countComplete(EarlyServer::End::kReset, kTries) == 0);
   }
 
   SECTION("is incomplete if the upstream is gone")
   {
     // A request that fits into the buffers is sent before the connection ends.
     if (bodySize == kMoreThanBuffers) {
-      CHECK(countComplete(EarlyUpstream::End::kClose, kTries) == 0);
+      CHECK(countComplete(EarlyServer::End::kClose, kTries) == 0);
     }
   }
 
   SECTION("is complete if the upstream reads on")
   {
-    CHECK(countComplete(EarlyUpstream::End::kReadOn, kTries) == kTries);
-    CHECK(countComplete(EarlyUpstream::End::kReadLate, 3) == 3);
+    CHECK(countComplete(EarlyServer::End::kReadOn, kTries) == kTries);
+    CHECK(countComplete(EarlyServer::End::kReadLate, 3) == 3);
   }
 }
