--- a/unittests/Platform/InvalidHeadTest.cpp
+++ b/unittests/Platform/InvalidHeadTest.cpp
@@ -1,6 +1,8 @@
 /// \file
-/// Tests of upstreams whose responses have an invalid head.
+/// Tests of upstreams, stores and routers whose responses have an invalid head.
 #include "Loopback.h"
+#include "StoreStandIn.h"
+#include "platform/StoreClient.h"
 
 #include <catch2/catch.hpp>
 
@@ -134,3 +136,58 @@
     as<std::string>{}, "Content-Length: 5", "Transfer-Encoding: chunked");
   CheckIsRejected("HTTP/1.1 200 OK\r\n" + kSeal + line + "\r\n" + kBody);
 }
+
+TEST_CASE("a store or router whose response is invalid", "[store][broken]")
+{
+  const std::string item =
+    R"({"key":"k","value":"YQ==","rev":7,"items":[],"events":[],)"
+    R"("currentRev":9})";
+  const std::string length =
+    "Content-Length: " + std::to_string(item.size()) + "\r\n";
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  const std::string response = GENERATE_COPY(
+    "HTTP/1.1 000 Trouble\r\n" + length + "\r\n" + item,
+    "HTTP/1.1 099 Trouble\r\n" + length + "\r\n" + item,
+    "HTTP/1.1 600 Trouble\r\n" + length + "\r\n" + item,
+    "HTTP/1.1 101 Other\r\n\r\n" + start + length + "\r\n" + item,
+    start + "X Y: 1\r\n" + length + "\r\n" + item,
+    start + "X\x01: 1\r\n" + length + "\r\n" + item,
+    start + "X : 1\r\n" + length + "\r\n" + item,
+    start + length + "Content-Length: 2\r\n\r\n" + item,
+    start + "Transfer-Encoding: gzip\r\n" + length + "\r\n" + item,
+    start + "Transfer-Encoding: gzip\r\n\r\n" + item,
+    // Bodies that break off.
+    start + length + "\r\n" + item.substr(0, item.size() - 1),
+    start + "\r\n" + item.substr(0, item.size() - 1),
+    start + "Content-Length: 9\r\n\r\n" + item.substr(0, 9),
+    start + "\r\n");
+  INFO(response);
+  asio::io_context io(1);
+  const auto work = asio::make_work_guard(io); // Between the calls too.
+  Tcp::acceptor acceptor(io, { asio::ip::make_address("127.0.0.1"), 0 });
+  const std::string address =
+    "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  platform::StoreClient client(io, address);
+  const auto respond = [&] {
+    asio::co_spawn(io, RespondAndClose(acceptor, response), asio::detached);
+  };
+
+  SECTION("has not answered a read, a list or a watch")
+  {
+    respond();
+    CHECK(absl::IsUnavailable(Await(io, client.Get("k")).status()));
+    respond();
+    CHECK(absl::IsUnavailable(Await(io, client.List("k/")).status()));
+    respond();
+    CHECK(absl::IsUnavailable(
+      Await(io, client.Watch("k/", 1, std::chrono::milliseconds(10)))
+        .status()));
+  }
+
+  SECTION("may have written")
+  {
+    respond();
+    CHECK(absl::IsUnavailable(
+      Await(io, client.CompareAndSwap("k", 6, "v")).status()));
+  }
+}
--- a/unittests/Platform/StoreStandIn.h
+++ b/unittests/Platform/StoreStandIn.h
@@ -5,6 +5,7 @@
 
 #include <utility>
 
+#include <array>
 #include <boost/asio.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -120,6 +121,17 @@
   std::vector<asio::ip::tcp::socket> m_unresponsiveSockets;
 };
 
+/// Responds once with \p aBytes on the next connection and closes it.
+inline asio::awaitable<void>
+RespondAndClose(asio::ip::tcp::acceptor& aAcceptor, std::string aBytes)
+{
+  asio::ip::tcp::socket socket =
+    co_await aAcceptor.async_accept(asio::use_awaitable);
+  std::array<char, 4096> request{};
+  co_await socket.async_read_some(asio::buffer(request), asio::use_awaitable);
+  co_await asio::async_write(socket, asio::buffer(aBytes), asio::use_awaitable);
+}
+
 /// Runs one call to completion.
 template<typename T>
 T
--- a/unittests/Platform/TruncatedHeadTest.cpp
+++ b/unittests/Platform/TruncatedHeadTest.cpp
@@ -37,16 +37,6 @@
   };
 }
 
-/// Responds once with \p aBytes on the next connection and closes it.
-asio::awaitable<void>
-RespondAndClose(Tcp::acceptor& aAcceptor, std::string aBytes)
-{
-  Tcp::socket socket = co_await aAcceptor.async_accept(asio::use_awaitable);
-  std::array<char, 4096> request{};
-  co_await socket.async_read_some(asio::buffer(request), asio::use_awaitable);
-  co_await asio::async_write(socket, asio::buffer(aBytes), asio::use_awaitable);
-}
-
 } // namespace
 
 TEST_CASE("an upstream whose connection closes within the head",
