--- a/include/bergamotpaddle/Forwarding/UpstreamExchange.h
+++ b/include/bergamotpaddle/Forwarding/UpstreamExchange.h
@@ -112,7 +112,7 @@
   std::optional<Parser> m_parser;
   AbortReason m_abortReason = AbortReason::kNone;
   bool m_isComplete = false;
-  std::chrono::steady_clock::duration m_roundTrip{ 0 }; ///< Of the connect.
+  std::chrono::steady_clock::duration m_connectTime{ 0 }; ///< A round trip.
   bool m_isSending = false;
   ErrorCode m_sendError;
   bool m_hasBody = false;
--- a/lib/Forwarding/UpstreamExchange.cpp
+++ b/lib/Forwarding/UpstreamExchange.cpp
@@ -81,7 +81,7 @@
   ErrorCode error;
   const auto startedAt = std::chrono::steady_clock::now();
   co_await m_socket.async_connect(*endpoint, Into(error));
-  m_roundTrip = std::chrono::steady_clock::now() - startedAt;
+  m_connectTime = std::chrono::steady_clock::now() - startedAt;
   if (error || m_abortReason != AbortReason::kNone) {
     m_error = error.message();
     co_return false;
@@ -147,7 +147,7 @@
 {
   if (m_isSending) {
     ErrorCode ignored;
-    m_sendingEnded.expires_after(2 * m_roundTrip + kMaxResetDelay);
+    m_sendingEnded.expires_after(2 * m_connectTime + kMaxResetDelay);
     co_await m_sendingEnded.async_wait(Into(ignored));
   }
   if (m_abortReason != AbortReason::kNone) {
--- a/unittests/Platform/EarlyResponseTest.cpp
+++ b/unittests/Platform/EarlyResponseTest.cpp
@@ -46,20 +46,23 @@
 
   SECTION("gets an error if the upstream resets the connection")
   {
+    const std::string path = GENERATE(as<std::string>{}, "/once/", "/again/");
     EarlyServer upstream(
       kHead + "\r\npart", readBytes, EarlyServer::End::kReset);
     for (int i = 0; i < kTries; ++i) {
-      const std::string response = call("/once/", upstream.Address());
+      const std::string response = call(path, upstream.Address());
       CHECK(response.starts_with("HTTP/1.1 502"));
     }
   }
 
   SECTION("gets no end of a stream that is reset")
   {
+    const std::string path =
+      GENERATE(as<std::string>{}, "/stream/", "/resume/");
     EarlyServer upstream(
       kStreamHead + "\r\n" + kEvents, readBytes, EarlyServer::End::kReset);
     for (int i = 0; i < kTries; ++i) {
-      const std::string response = call("/stream/", upstream.Address());
+      const std::string response = call(path, upstream.Address());
       CHECK_FALSE(response.ends_with("0\r\n\r\n"));
       CHECK(fixture.m_wasClosedByGateway);
     }
